--- a/crates/yucca-entry/src/lib.rs
+++ b/crates/yucca-entry/src/lib.rs
@@ -45,7 +45,7 @@
 pub mod peer_calls;
 pub mod peers;
 pub mod plain;
-pub pub mod probe;
+pub mod probe;
 pub mod problem;
 pub mod progress_io;
 pub mod quota;
