--- a/crates/yucca-serve/src/choose.rs
+++ b/crates/yucca-serve/src/choose.rs
@@ -2,7 +2,7 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use yuccacove::prompt_placement::{self, Choice, EngineView, Phase, Placement};
+use yuccacove::prompt_placement::{self, Choice, EngineView, Placement};
 
 use crate::directory::{BackEndKey, Directory};
 use crate::request::{Prompt, Request};
@@ -16,8 +16,8 @@
 const FAULT_MS: f64 = 1_500.0;
 /// Failure rate up to which an engine counts as sound.
 const TOLERATED_RATE: f64 = 0.05;
-/// Part of a shared prompt that the engine to which its hash points is expected to keep.
-const HOME_SHARE: f64 = 0.6;
+/// Time to generate a token, for the pause that a stream may still make.
+const TOKEN_MS: f64 = 4.5;
 /// Average length of an event of a stream in kilobytes.
 const EVENT_KB: f64 = 0.1;
 
@@ -32,6 +32,8 @@
     pub first_token_ms: f64,
     /// Forecast time of reading the prompt in milliseconds.
     pub read_ms: f64,
+    /// Engine that keeps more of the prompt than the one that reads it.
+    pub keeper: Option<BackEndKey>,
 }
 
 /// Hash and tokens of each leading run of a prompt's parts.
@@ -73,47 +75,75 @@
         .min_by(|a, b| cost(*a).total_cmp(&cost(*b)))
 }
 
+/// What the choice of engines depends on beside the directory.
+#[derive(Debug, Clone, Copy)]
+pub struct Need<'a> {
+    /// The request.
+    pub request: &'a Request,
+    /// Service.
+    pub service: &'a str,
+    /// Availability zone of the host.
+    pub zone: &'a str,
+    /// Longest pause between events for which the answer is in time; 0 for none.
+    pub gap_ms: u64,
+    /// Most tokens in one event.
+    pub tokens_per_event: u32,
+}
+
 /// The engines for a generation, except those in `tried`.
 pub fn engines(
     directory: &Directory,
-    service: &str,
-    zone: &str,
-    request: &Request,
+    need: &Need<'_>,
     tried: &[BackEndKey],
     now_ms: u64,
 ) -> Option<EngineChoice> {
-    let keys = fit(directory, service, tried, now_ms);
+    let keys = fit(directory, need.service, tried, now_ms);
     let empty = Prompt::default();
-    let prompt = request.prompt.as_ref().unwrap_or(&empty);
+    let prompt = need.request.prompt.as_ref().unwrap_or(&empty);
     let chain = chain(prompt);
-    let home = home(directory, &keys, &chain);
+    let kept: Vec<u32> = keys
+        .iter()
+        .map(|key| directory.get(*key).load.kept_tokens(&chain, now_ms))
+        .collect();
+    let keeper = (0..keys.len()).max_by_key(|at| kept[*at]);
+    let reachable = keeper.map_or(0, |at| kept[at]);
     let views: Vec<EngineView> = keys
         .iter()
-        .map(|key| {
+        .zip(&kept)
+        .map(|(key, kept_tokens)| {
             let back_end = directory.get(*key);
-            let known = back_end.load.kept_tokens(&chain, now_ms);
-            let expected = match home {
-                Some((home, shared)) if home == *key => f64::from(shared) * HOME_SHARE,
-                _ => 0.0,
-            };
             let excess_rate = (back_end.fitness.failure_rate() - TOLERATED_RATE).max(0.0);
             EngineView {
                 phase: back_end.entry.phase,
                 pending_ms: back_end.load.pending_ms(now_ms),
                 streams: back_end.load.streams,
-                kept_tokens: known.max(expected as u32),
-                is_remote: back_end.entry.zone != zone,
+                kept_tokens: *kept_tokens,
+                reachable_tokens: reachable,
+                is_remote: back_end.entry.zone != need.zone,
                 speed: 1.0,
                 fault_ms: excess_rate * FAULT_MS,
             }
         })
         .collect();
-    let need = prompt_placement::Prompt {
+    let generating_ms = f64::from(need.tokens_per_event) * TOKEN_MS;
+    let prompt = prompt_placement::Prompt {
         tokens: prompt.tokens,
-        request_kb: request.size_kb(),
+        request_kb: need.request.size_kb(),
         answer_kb: f64::from(prompt.max_output_tokens) * EVENT_KB,
+        pause_ms: (need.gap_ms as f64 - generating_ms).max(0.0),
     };
-    prompt_placement::choose(&views, &need).map(|choice| with_keys(&choice, &keys))
+    let choice = prompt_placement::choose(&views, &prompt)?;
+    let mut chosen = with_keys(&choice, &keys);
+    let reader = chosen.prefill.unwrap_or(chosen.decode);
+    chosen.keeper = keeper
+        .filter(|at| keys[*at] != reader && reachable > kept_by(&keys, &kept, reader))
+        .map(|at| keys[at]);
+    Some(chosen)
+}
+
+fn kept_by(keys: &[BackEndKey], kept: &[u32], engine: BackEndKey) -> u32 {
+    let at = keys.iter().position(|key| *key == engine);
+    at.map_or(0, |at| kept[at])
 }
 
 fn with_keys(choice: &Choice, keys: &[BackEndKey]) -> EngineChoice {
@@ -126,6 +156,7 @@
         decode,
         first_token_ms: choice.first_token_ms,
         read_ms: choice.read_ms,
+        keeper: None,
     }
 }
 
@@ -143,23 +174,7 @@
     if sound.is_empty() { usable } else { sound }
 }
 
-/// The prefill engine to which the shared part of a prompt belongs, with the tokens of that part.
-/// All hosts find the same one without asking each other (rendezvous hashing).
-fn home(
-    directory: &Directory,
-    keys: &[BackEndKey],
-    chain: &[(u64, u32)],
-) -> Option<(BackEndKey, u32)> {
-    let shared = chain.len().checked_sub(2)?;
-    let (hash, tokens) = chain[shared];
-    let engine = keys
-        .iter()
-        .filter(|key| directory.get(**key).entry.phase == Phase::Prefill)
-        .max_by_key(|key| rendezvous(directory, **key, hash))?;
-    Some((*engine, tokens))
-}
-
-/// Rank of a back end for a part of a prompt, the same on all hosts.
+/// Order of a back end in a draw.
 fn rendezvous(directory: &Directory, key: BackEndKey, hash: u64) -> u64 {
     hash_of((hash, &*directory.get(key).target.id))
 }
--- a/crates/yucca-serve/src/config.rs
+++ b/crates/yucca-serve/src/config.rs
@@ -112,6 +112,8 @@
 pub struct EngineSpec {
     /// Requests at once.
     pub slots: u32,
+    /// Most tokens in one event of a stream.
+    pub tokens_per_event: u32,
     /// Memory in tokens.
     pub kv_tokens: u64,
     /// KV cache of one token, in bytes.
--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -11,6 +11,7 @@
 use yuccacove::fitness::Fitness;
 use yuccacove::prompt_placement::Phase;
 
+use crate::choose::hash_of;
 use crate::loads::Load;
 use crate::ports::Target;
 
@@ -68,6 +69,7 @@
     pub load: Load,
     /// What its answers say of it.
     pub fitness: Fitness,
+    id_hash: u64,
     revision: u64,
     standing: Standing,
 }
@@ -135,6 +137,12 @@
         self.by_id.get(id).copied()
     }
 
+    /// The key of the back end whose id has the given hash.
+    pub fn find_hash(&self, hash: u64) -> Option<BackEndKey> {
+        let mut keys = self.by_id.values().copied();
+        keys.find(|key| self.get(*key).id_hash == hash)
+    }
+
     /// Whether a complete list was received.
     pub fn is_listed(&self) -> bool {
         self.is_listed
@@ -255,6 +263,7 @@
             entry,
             load: Load::default(),
             fitness: Fitness::default(),
+            id_hash: hash_of(id),
             revision,
             standing: if is_draining {
                 Standing::Leaving { since_ms: 0 }
--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use indexmap::IndexMap;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use yucca_io::log;
 use yuccacove::event::Event;
@@ -13,6 +14,7 @@
 
 use crate::config::ServingConfig;
 use crate::directory::{BackEndKey, Directory};
+use crate::peers::{Peers, Reading};
 use crate::ports::Target;
 
 /// Part of the requests of a service that hosts send again, below what the deployment allows as
@@ -60,6 +62,10 @@
     pub back_ends: B,
     /// Back ends with their loads.
     pub directory: RefCell<Directory>,
+    /// The other hosts.
+    pub peers: Peers,
+    /// Notified when there is something to tell the other hosts.
+    pub news: Notify,
     /// Counters.
     pub counts: Counts,
     config: RefCell<Option<Rc<ServingConfig>>>,
@@ -78,6 +84,8 @@
             deployment,
             back_ends,
             directory: RefCell::default(),
+            peers: Peers::default(),
+            news: Notify::new(),
             counts: Counts::default(),
             config: RefCell::default(),
             budgets: RefCell::default(),
@@ -163,6 +171,12 @@
         hasher.finish()
     }
 
+    /// Tells the other hosts of a prompt that an engine was given.
+    pub fn tell(&self, reading: Reading) {
+        self.peers.tell(reading);
+        self.news.notify_one();
+    }
+
     /// What calls to a back end are sent to.
     pub fn target(&self, key: BackEndKey) -> Target {
         self.directory.borrow().get(key).target.clone()
--- a/crates/yucca-serve/src/loads.rs
+++ b/crates/yucca-serve/src/loads.rs
@@ -51,8 +51,8 @@
         let known = |hash| self.kept.get(hash);
         chain
             .iter()
-            .take_while(|(hash, _)| known(hash).is_some_and(|k| now_ms < k.used_ms + KEPT_MS))
-            .last()
+            .rev()
+            .find(|(hash, _)| known(hash).is_some_and(|k| now_ms < k.used_ms + KEPT_MS))
             .map_or(0, |(_, tokens)| *tokens)
     }
 
--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -1,1 +1,244 @@
-//! Exchange with the other hosts.
+//! Exchange with the other hosts: which engine was given which prompt to read.
+//!
+//! Each host sees only its own part of an engine's work. Datagrams tell the others of the rest
+//! within tens of milliseconds. Losing one only makes a forecast worse, so none is repeated.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use tokio::net::UdpSocket;
+use tokio::time::{Duration, sleep};
+use yucca_io::log;
+use yuccacove::event::Event;
+
+use crate::choose::hash_of;
+use crate::directory::BackEndKey;
+use crate::follow::follow_with;
+use crate::host::Host;
+use crate::ports::{Kind, Object, ObjectStore, StoreFault};
+
+/// Interval in which prompts are collected before they are told.
+const SEND_INTERVAL: Duration = Duration::from_millis(10);
+/// Most prompts in one datagram, which keeps it below the smallest common packet size.
+const MAX_READINGS: usize = 40;
+/// Largest datagram.
+const MAX_DATAGRAM_BYTES: usize = 2_048;
+/// Hosts that are told of each prompt. Beyond it a sample is told, so that the traffic of a host
+/// does not grow with the fleet.
+const MAX_TOLD: usize = 96;
+/// Beginning of the names of the hosts' objects.
+const HOST_PREFIX: &str = "host.";
+/// Pause between attempts to register.
+const REGISTER_RETRY: Duration = Duration::from_millis(500);
+
+/// A prompt that an engine was given.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Reading {
+    /// Hash of the engine's id.
+    pub engine: u64,
+    /// Forecast time to read the prompt, in units of 0.1 ms.
+    pub read_tenths_ms: u32,
+    /// Hash of the prompt's shared parts; 0 without any.
+    pub shared_hash: u64,
+    /// Tokens of the shared parts.
+    pub shared_tokens: u32,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Datagram {
+    readings: Vec<Reading>,
+}
+
+/// The other hosts, and what they are to be told.
+#[derive(Debug, Default)]
+pub struct Peers {
+    addresses: RefCell<IndexMap<String, SocketAddr>>,
+    outbox: RefCell<Vec<Reading>>,
+}
+
+impl Peers {
+    /// Tells the other hosts of a prompt with the next datagram.
+    pub fn tell(&self, reading: Reading) {
+        let mut outbox = self.outbox.borrow_mut();
+        if !self.addresses.borrow().is_empty() && outbox.len() < MAX_READINGS {
+            outbox.push(reading);
+        }
+    }
+
+    /// Number of other hosts.
+    pub fn count(&self) -> usize {
+        self.addresses.borrow().len()
+    }
+}
+
+/// Receives and sends datagrams for as long as the process lives.
+pub async fn exchange<B>(host: Rc<Host<B>>, socket: UdpSocket) {
+    let mut buffer = [0; MAX_DATAGRAM_BYTES];
+    let mut next_send = tokio::time::Instant::now();
+    loop {
+        tokio::select! {
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((length, _)) => receive(&host, &buffer[..length]),
+                // An earlier datagram was refused by its receiver, which has stopped.
+                Err(_) => sleep(SEND_INTERVAL).await,
+            },
+            () = tokio::time::sleep_until(next_send), if has_news(&host) => {
+                send(&host, &socket).await;
+                next_send = tokio::time::Instant::now() + SEND_INTERVAL;
+            }
+            () = host.news.notified() => {}
+        }
+    }
+}
+
+fn has_news<B>(host: &Host<B>) -> bool {
+    !host.peers.outbox.borrow().is_empty()
+}
+
+async fn send<B>(host: &Host<B>, socket: &UdpSocket) {
+    let readings = std::mem::take(&mut *host.peers.outbox.borrow_mut());
+    let datagram = Datagram { readings };
+    let Ok(bytes) = bincode::serde::encode_to_vec(&datagram, bincode::config::standard()) else {
+        return;
+    };
+    for address in told(host) {
+        // A datagram that cannot be sent is as good as one that is lost.
+        let _ = socket.try_send_to(&bytes, address);
+    }
+}
+
+/// The hosts that are told; a new sample each time when there are too many.
+fn told<B>(host: &Host<B>) -> Vec<SocketAddr> {
+    let addresses = host.peers.addresses.borrow();
+    let start = host.draw() as usize % addresses.len().max(1);
+    let all = addresses.values().copied();
+    all.cycle()
+        .skip(start)
+        .take(addresses.len().min(MAX_TOLD))
+        .collect()
+}
+
+fn receive<B>(host: &Host<B>, bytes: &[u8]) {
+    let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
+    let Ok((Datagram { readings }, _)) = decoded else {
+        return;
+    };
+    let now_ms = host.now_ms();
+    let mut directory = host.directory.borrow_mut();
+    for reading in readings {
+        let Some(key) = directory.find_hash(reading.engine) else {
+            continue;
+        };
+        let load = &mut directory.get_mut(key).load;
+        load.add_reading(f64::from(reading.read_tenths_ms) / 10.0, now_ms);
+        if reading.shared_hash != 0 {
+            load.keep(&[(reading.shared_hash, reading.shared_tokens)], now_ms);
+        }
+    }
+}
+
+/// What the other hosts are told of a prompt that `key` was given.
+pub fn reading<B>(
+    host: &Host<B>,
+    key: BackEndKey,
+    read_ms: f64,
+    chain: &[(u64, u32)],
+) -> Reading {
+    let shared = chain.len().checked_sub(2).map(|at| chain[at]);
+    let (shared_hash, shared_tokens) = shared.unwrap_or_default();
+    Reading {
+        engine: hash_of(&*host.target(key).id),
+        read_tenths_ms: (read_ms * 10.0) as u32,
+        shared_hash,
+        shared_tokens,
+    }
+}
+
+/// Registers this host, so that the others find it.
+pub async fn register<B, S: ObjectStore>(host: Rc<Host<B>>, store: Rc<S>, address: SocketAddr) {
+    let name = object_name(&host.deployment.name);
+    let value = json!({ "address": address.to_string() });
+    let mut expected = None;
+    while !host.is_stopping() {
+        match store.write(Kind::Hosts, &name, expected, &value).await {
+            Ok(_) => return,
+            Err(StoreFault::Conflict(Some(object))) if object.value.as_ref() == Some(&value) => {
+                return;
+            }
+            Err(StoreFault::Conflict(Some(object))) => expected = Some(object.revision),
+            Err(StoreFault::Missing) => expected = None,
+            Err(_) => {}
+        }
+        sleep(REGISTER_RETRY).await;
+    }
+}
+
+/// Takes this host off the list.
+pub async fn unregister<B, S: ObjectStore>(host: &Host<B>, store: &S) {
+    let name = object_name(&host.deployment.name);
+    if let Err(fault) = store.remove(Kind::Hosts, &name).await {
+        // The entry only makes the others' budgets smaller until its name is used again.
+        log::write(Event::StoreLost, &format!("unregister={fault:?}"));
+    }
+}
+
+fn object_name(host: &str) -> String {
+    format!("{HOST_PREFIX}{host}")
+}
+
+/// Follows the list of hosts; `take_other` gets the objects that are none.
+pub async fn follow_hosts<B, S: ObjectStore>(
+    host: Rc<Host<B>>,
+    store: Rc<S>,
+    mut take_other: impl FnMut(&Object),
+) {
+    follow_with(
+        &*store,
+        Kind::Hosts,
+        |objects, is_complete| {
+            if is_complete {
+                host.peers.addresses.borrow_mut().clear();
+            }
+            for object in &objects.objects {
+                match object.name.strip_prefix(HOST_PREFIX) {
+                    Some(name) => take_host(&host, name, object),
+                    None => take_other(object),
+                }
+            }
+        },
+        |_| {},
+    )
+    .await;
+}
+
+fn take_host<B>(host: &Host<B>, name: &str, object: &Object) {
+    if name == host.deployment.name {
+        return;
+    }
+    let address = object.value.as_ref().and_then(decode_address);
+    let mut addresses = host.peers.addresses.borrow_mut();
+    match address.filter(|_| !object.is_removed) {
+        Some(address) => {
+            if addresses.insert(name.to_owned(), address) != Some(address) {
+                let fields = format!("peer={name} address={address}");
+                log::write(Event::PeerJoined, &fields);
+            }
+        }
+        None => {
+            if addresses.swap_remove(name).is_some() {
+                log::write(Event::PeerLost, &format!("peer={name}"));
+            }
+        }
+    }
+    let hosts = u32::try_from(addresses.len() + 1).unwrap_or(u32::MAX);
+    drop(addresses);
+    host.set_hosts(hosts);
+}
+
+fn decode_address(value: &Value) -> Option<SocketAddr> {
+    value.get("address")?.as_str()?.parse().ok()
+}
--- a/crates/yucca-serve/src/ports.rs
+++ b/crates/yucca-serve/src/ports.rs
@@ -120,8 +120,10 @@
     pub urgency: u8,
     /// Event after which a stream goes on.
     pub resume_after: Option<u64>,
-    /// KV cache of the prompt, to be fetched by the engine.
+    /// KV cache of the whole prompt, to be fetched by the engine.
     pub prompt: Option<PromptHandle>,
+    /// Engine that keeps leading parts of the prompt, from which the engine fetches them.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// Why a call to a back end gave no answer of the request.
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -36,7 +36,14 @@
     let Some(service) = route.service(hash_of(&request.id)) else {
         return refuse(host, &request.id, Code::NoBackend, Some(RETRY_AFTER_MS));
     };
-    let job = Rc::new(Job::new(host, request, route, service));
+    let tokens_per_event = config
+        .services
+        .get(service)
+        .and_then(|service| service.engine)
+        .map_or(1, |engine| engine.tokens_per_event);
+    let mut job = Job::new(host, request, route, service);
+    job.tokens_per_event = tokens_per_event;
+    let job = Rc::new(job);
     let run = async {
         match job.route.kind {
             RouteKind::Stream { .. } => stream::run(&job).await,
@@ -68,6 +75,8 @@
     pub route: Route,
     /// Its service.
     pub service: String,
+    /// Most tokens in one event of the service's engines.
+    pub tokens_per_event: u32,
     /// When it was received.
     pub received: Instant,
     /// When the caller gets its final answer at the latest.
@@ -89,6 +98,7 @@
             host: Rc::clone(host),
             request,
             service: service.to_owned(),
+            tokens_per_event: 1,
             received,
             limit: received + Duration::from_millis(limit_ms),
             tried: RefCell::default(),
@@ -117,6 +127,7 @@
             urgency: self.route.urgency,
             resume_after: self.request.resume_after,
             prompt: None,
+            fetch_from: None,
         }
     }
 
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -1,6 +1,7 @@
 //! Generations: the prompt is read, perhaps by another engine, and the events are passed on as they
 //! arrive. A stream that breaks off goes on with another run where its route allows it.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -10,10 +11,11 @@
 use yuccacove::code::Code;
 use yuccacove::event::Event;
 
-use crate::choose::{self, EngineChoice};
+use crate::choose::{self, EngineChoice, Need};
 use crate::directory::BackEndKey;
 use crate::events::EventBuffer;
 use crate::host::{Host, InFlight};
+use crate::peers;
 use crate::ports::{Answer, AnswerBody, BackEnds, CallFault, PromptHandle};
 use crate::reply::{Interrupted, Reply};
 use crate::serve::{Job, RunState};
@@ -146,14 +148,19 @@
     let host = &job.host;
     let directory = host.directory.borrow();
     let tried = job.tried.borrow();
-    choose::engines(
-        &directory,
-        &job.service,
-        &host.deployment.zone,
-        &job.request,
-        &tried,
-        host.now_ms(),
-    )
+    let need = Need {
+        request: &job.request,
+        service: &job.service,
+        zone: &host.deployment.zone,
+        gap_ms: job.route.target_gap_ms,
+        tokens_per_event: job.tokens_per_event,
+    };
+    choose::engines(&directory, &need, &tried, host.now_ms())
+}
+
+/// Address of the engine from which kept parts of the prompt are fetched.
+fn keeper_address<B: BackEnds>(job: &Job<B>, choice: &EngineChoice) -> Option<SocketAddr> {
+    choice.keeper.map(|key| job.host.target(key).address)
 }
 
 /// Has the prompt read by `key`, within a time that follows from the forecast.
@@ -182,7 +189,9 @@
     );
     let forecast_ms = pending_ms + choice.read_ms;
     let limit_ms = (forecast_ms * READ_FACTOR) as u64 + READ_SLACK_MS;
-    let read = host.back_ends.read_prompt(&target, &job.request, job.call());
+    let mut call = job.call();
+    call.fetch_from = keeper_address(job, choice);
+    let read = host.back_ends.read_prompt(&target, &job.request, call);
     let outcome = match timeout(Duration::from_millis(limit_ms), read).await {
         Ok(outcome) => outcome,
         Err(_) => {
@@ -213,13 +222,14 @@
 fn begin_reading<B: BackEnds>(job: &Job<B>, key: BackEndKey, read_ms: f64) -> f64 {
     let host = &job.host;
     let now_ms = host.now_ms();
+    let chain = job.request.prompt.as_ref().map(choose::chain);
+    let chain = chain.unwrap_or_default();
+    host.tell(peers::reading(host, key, read_ms, &chain));
     let mut directory = host.directory.borrow_mut();
     let load = &mut directory.get_mut(key).load;
     let pending_ms = load.pending_ms(now_ms);
     load.add_reading(read_ms, now_ms);
-    if let Some(prompt) = &job.request.prompt {
-        load.keep(&choose::chain(prompt), now_ms);
-    }
+    load.keep(&chain, now_ms);
     pending_ms
 }
 
@@ -238,6 +248,7 @@
     let pending_ms = if call.prompt.is_some() {
         0.0
     } else {
+        call.fetch_from = keeper_address(job, choice);
         begin_reading(job, key, choice.read_ms)
     };
     log::write(
@@ -258,11 +269,15 @@
     let started_ms = host.now_ms();
     let has_prompt = call.prompt.is_some();
     let answer = host.back_ends.run(&target, &job.request, call).await?;
-    if !has_prompt {
-        let now_ms = host.now_ms();
-        let took_ms = (now_ms - started_ms) as f64;
-        let mut directory = host.directory.borrow_mut();
-        let load = &mut directory.get_mut(key).load;
+    let now_ms = host.now_ms();
+    let took_ms = (now_ms - started_ms) as f64;
+    let mut directory = host.directory.borrow_mut();
+    let load = &mut directory.get_mut(key).load;
+    if has_prompt {
+        // The engine keeps what it fetched.
+        let chain = job.request.prompt.as_ref().map(choose::chain);
+        load.keep(&chain.unwrap_or_default(), now_ms);
+    } else {
         load.correct(took_ms - pending_ms - choice.read_ms, now_ms);
     }
     Ok(answer)
@@ -292,6 +307,25 @@
     Reply::whole(head, Bytes::from(bytes))
 }
 
+/// Times of a stream's events, since the request was received.
+#[derive(Debug, Default)]
+struct Pace {
+    first_ms: Option<u64>,
+    last_ms: u64,
+    max_gap_ms: u64,
+}
+
+impl Pace {
+    fn event(&mut self, now_ms: u64) {
+        if self.first_ms.is_none() {
+            self.first_ms = Some(now_ms);
+        } else {
+            self.max_gap_ms = self.max_gap_ms.max(now_ms - self.last_ms);
+        }
+        self.last_ms = now_ms;
+    }
+}
+
 /// How the events of a run ended.
 enum End {
     Complete,
@@ -307,14 +341,19 @@
     caller: &mpsc::Sender<Result<Bytes, Interrupted>>,
 ) {
     let mut events = EventBuffer::resumed(job.request.resume_after);
+    let mut pace = Pace::default();
     loop {
-        let end = pass_run(job, &mut opened, &mut events, caller).await;
+        let end = pass_run(job, &mut opened, &mut events, &mut pace, caller).await;
         let target = job.host.target(opened.key);
         let fields = format!(
-            "request={} back_end={} last_event={:?} elapsed_ms={}",
+            "request={} route={} back_end={} last_event={:?} first_event_ms={} max_gap_ms={} \
+             elapsed_ms={}",
             job.request.id,
+            job.route.name,
             target.id,
             events.last_id(),
+            pace.first_ms.unwrap_or(0),
+            pace.max_gap_ms,
             job.elapsed_ms()
         );
         match end {
@@ -368,6 +407,7 @@
     job: &Rc<Job<B>>,
     opened: &mut Opened<B>,
     events: &mut EventBuffer,
+    pace: &mut Pace,
     caller: &mpsc::Sender<Result<Bytes, Interrupted>>,
 ) -> End {
     loop {
@@ -386,6 +426,9 @@
         if events.is_too_long() {
             return End::Broken("an event is too long".to_owned());
         }
+        if whole.is_some() {
+            pace.event(job.elapsed_ms());
+        }
         if let Some(whole) = whole
             && caller.send(Ok(whole)).await.is_err()
         {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod limits;
 pub mod membership;
 pub mod order;
+pub mod phase_split;
 pub mod placement;
 pub mod prefix;
 pub mod prompt_placement;
--- a/src/prompt_placement.rs
+++ b/src/prompt_placement.rs
@@ -35,9 +35,8 @@
 const TRANSFER_MS_PER_KILOTOKEN: f64 = 1.1;
 /// Cost of a kilobyte sent to another availability zone, as milliseconds of delay.
 const CROSS_ZONE_MS_PER_KB: f64 = 4.0;
-/// Delay that a streaming decode suffers for each millisecond that its engine reads prompts, as a
-/// part of the reading.
-const STALL_WEIGHT: f64 = 0.02;
+/// Part of the allowed pause between events that reading prompts may take on a decode engine.
+const STALL_SHARE: f64 = 0.8;
 
 /// What an engine does at present.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -60,6 +59,8 @@
     pub streams: u32,
     /// Leading tokens of the prompt whose KV cache the engine is expected to keep.
     pub kept_tokens: u32,
+    /// Leading tokens that it keeps or can fetch from another engine.
+    pub reachable_tokens: u32,
     /// Whether the engine is in another availability zone than the host.
     pub is_remote: bool,
     /// Speed as a part of the published one.
@@ -77,6 +78,8 @@
     pub request_kb: f64,
     /// Expected size of the answer in kilobytes.
     pub answer_kb: f64,
+    /// Longest allowed pause between events, less the time to generate those tokens; 0 for none.
+    pub pause_ms: f64,
 }
 
 /// Engines for a request, as indices into the list that was given.
@@ -127,47 +130,83 @@
     Some(best.1)
 }
 
-/// Score of an engine that reads and decodes, with its forecast.
+/// Score of an engine that reads and decodes, with its forecast. Reading interrupts the answers that
+/// the engine generates, so that long prompts are left to prefill engines.
 fn best_one_stage(engines: &[EngineView], prompt: &Prompt) -> Option<(f64, Choice)> {
-    let of_phase = |phase| {
-        engines
-            .iter()
-            .enumerate()
-            .filter(move |(_, engine)| engine.phase == phase)
+    let has_prefill = engines.iter().any(|e| e.phase == Phase::Prefill);
+    let max_stall_ms = if has_prefill && prompt.pause_ms > 0.0 {
+        prompt.pause_ms * STALL_SHARE
+    } else {
+        f64::INFINITY
     };
-    of_phase(Phase::Decode)
-        .map(|(decode, engine)| {
-            let read = read_ms(
-                prompt.tokens,
-                engine.kept_tokens,
-                engine.speed * DECODE_PREFILL_SHARE,
-            );
-            let first_token_ms = engine.pending_ms + read + step_ms(engine);
-            let stall = STALL_WEIGHT * f64::from(engine.streams) * read;
+    engines
+        .iter()
+        .enumerate()
+        .filter(|(_, engine)| engine.phase == Phase::Decode)
+        .filter_map(|(decode, engine)| {
+            let read = reading(engine, prompt, engine.speed * DECODE_PREFILL_SHARE);
+            if engine.pending_ms + read.own_ms > max_stall_ms {
+                return None;
+            }
+            let first_token_ms = engine.pending_ms + read.total_ms() + step_ms(engine);
             let bytes = zone_ms(engine, prompt.request_kb + prompt.answer_kb);
             let choice = Choice {
                 placement: Placement::OneStage { decode },
                 first_token_ms,
-                read_ms: read,
+                read_ms: read.own_ms,
             };
-            (first_token_ms + stall + bytes + engine.fault_ms, choice)
+            Some((first_token_ms + bytes + engine.fault_ms, choice))
         })
         .min_by(|a, b| a.0.total_cmp(&b.0))
 }
 
+/// How an engine comes by a prompt's KV cache.
+struct Reading {
+    /// Time that the engine computes.
+    own_ms: f64,
+    /// Time to fetch what another engine keeps.
+    fetch_ms: f64,
+}
+
+impl Reading {
+    fn total_ms(&self) -> f64 {
+        self.own_ms + self.fetch_ms
+    }
+}
+
+fn reading(engine: &EngineView, prompt: &Prompt, speed: f64) -> Reading {
+    let reachable = engine.reachable_tokens.max(engine.kept_tokens);
+    let fetched = reachable - engine.kept_tokens;
+    let fetch_ms = if fetched > 0 {
+        transfer_ms(fetched)
+    } else {
+        0.0
+    };
+    Reading {
+        own_ms: read_ms(prompt.tokens, reachable, speed),
+        fetch_ms,
+    }
+}
+
+fn transfer_ms(tokens: u32) -> f64 {
+    TRANSFER_SETUP_MS + f64::from(tokens) / 1_000.0 * TRANSFER_MS_PER_KILOTOKEN
+}
+
 fn best_two_stage(engines: &[EngineView], prompt: &Prompt) -> Option<(f64, Choice)> {
     let (read_score, prefill) = engines
         .iter()
         .enumerate()
         .filter(|(_, engine)| engine.phase == Phase::Prefill)
         .map(|(at, engine)| {
-            let read = read_ms(prompt.tokens, engine.kept_tokens, engine.speed);
+            let read = reading(engine, prompt, engine.speed);
             let bytes = zone_ms(engine, prompt.request_kb);
-            (engine.pending_ms + read + bytes + engine.fault_ms, at)
+            (
+                engine.pending_ms + read.total_ms() + bytes + engine.fault_ms,
+                at,
+            )
         })
         .min_by(|a, b| a.0.total_cmp(&b.0))?;
-    let transfer_ms =
-        TRANSFER_SETUP_MS + f64::from(prompt.tokens) / 1_000.0 * TRANSFER_MS_PER_KILOTOKEN;
+    let transfer_ms = transfer_ms(prompt.tokens);
     let (decode_score, decode) = engines
         .iter()
         .enumerate()
@@ -180,11 +219,14 @@
         })
         .min_by(|a, b| a.0.total_cmp(&b.0))?;
     let reader = &engines[prefill];
-    let read = read_ms(prompt.tokens, reader.kept_tokens, reader.speed);
+    let read = reading(reader, prompt, reader.speed);
     let choice = Choice {
         placement: Placement::TwoStage { prefill, decode },
-        first_token_ms: reader.pending_ms + read + transfer_ms + step_ms(&engines[decode]),
-        read_ms: read,
+        first_token_ms: reader.pending_ms
+            + read.total_ms()
+            + transfer_ms
+            + step_ms(&engines[decode]),
+        read_ms: read.own_ms,
     };
     Some((read_score + decode_score, choice))
 }
