--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -24,6 +24,9 @@
 const CHUNKS_AHEAD: usize = 16;
 /// Time that reading a prompt may take beyond its forecast before its engine counts as silent.
 const READ_SLACK_MS: u64 = 800;
+/// Urgency of all runs on decode engines. A run that is preempted for a more urgent one reads its
+/// whole prompt again there, which costs all streams of the engine more than the urgent one gains.
+const RUN_URGENCY: u8 = 0;
 /// Multiple of the forecast that reading a prompt may take.
 const READ_FACTOR: f64 = 3.0;
 
@@ -244,6 +247,7 @@
     let target = host.target(key);
     let mut call = job.call();
     call.resume_after = resume_after;
+    call.urgency = RUN_URGENCY;
     call.prompt = lease.handle.clone();
     let pending_ms = if call.prompt.is_some() {
         0.0
