Let the split follow demand and bound reading on decode engines

Cause: a stream takes 1.3 s and a slot; 3 decode engines of 64 slots were full in bursts, and each host knew only its own streams. Change: hosts tell each other their streams; the split follows the peaks of streams and reading; decode engines read within a bounded part of their time.

--- a/crates/yucca-serve/src/choose.rs
+++ b/crates/yucca-serve/src/choose.rs
@@ -65,7 +65,7 @@
         } else {
             REMOTE_REQUESTS
         };
-        let requests = f64::from(back_end.load.requests + back_end.load.peer_requests);
+        let requests = f64::from(back_end.load.requests);
         // The spread breaks ties differently on each host.
         let spread = (rendezvous(directory, key, draw) % 1_000) as f64 / 10_000.0;
         (requests + 1.0 + remote + spread) / success.max(0.1).powi(FAILURE_POWER)
@@ -88,6 +88,8 @@
     pub gap_ms: u64,
     /// Most tokens in one event.
     pub tokens_per_event: u32,
+    /// Requests that an engine runs at once.
+    pub slots: u32,
 }
 
 /// The engines for a generation, except those in `tried`.
@@ -116,7 +118,9 @@
             EngineView {
                 phase: back_end.entry.phase,
                 pending_ms: back_end.load.pending_ms(now_ms),
-                streams: back_end.load.streams,
+                stall_ms: back_end.load.stall_ms(now_ms),
+                streams: back_end.load.all_streams(now_ms),
+                slots: need.slots,
                 kept_tokens: *kept_tokens,
                 reachable_tokens: reachable,
                 is_remote: back_end.entry.zone != need.zone,
--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -75,6 +75,11 @@
 }
 
 impl BackEnd {
+    /// Hash of its id, the same on all hosts.
+    pub fn id_hash(&self) -> u64 {
+        self.id_hash
+    }
+
     fn is_serving(&self, now_ms: u64) -> bool {
         match self.standing {
             Standing::Serving => true,
@@ -132,6 +137,11 @@
         &mut self.back_ends[key.0]
     }
 
+    /// All back ends, to be changed.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut BackEnd> {
+        self.back_ends.iter_mut()
+    }
+
     /// The key of a back end that is known by `id`.
     pub fn find(&self, id: &str) -> Option<BackEndKey> {
         self.by_id.get(id).copied()
--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 use yucca_io::log;
 use yuccacove::event::Event;
+use yuccacove::phase_split::PoolDemand;
 use yuccacove::retry::Budget;
 
 use crate::config::ServingConfig;
@@ -66,6 +67,8 @@
     pub peers: Peers,
     /// Notified when there is something to tell the other hosts.
     pub news: Notify,
+    /// Demand of the model engines, of all hosts.
+    pub demand: RefCell<PoolDemand>,
     /// Counters.
     pub counts: Counts,
     config: RefCell<Option<Rc<ServingConfig>>>,
@@ -86,6 +89,7 @@
             directory: RefCell::default(),
             peers: Peers::default(),
             news: Notify::new(),
+            demand: RefCell::default(),
             counts: Counts::default(),
             config: RefCell::default(),
             budgets: RefCell::default(),
--- a/crates/yucca-serve/src/loads.rs
+++ b/crates/yucca-serve/src/loads.rs
@@ -4,6 +4,11 @@
 
 /// Time after its last use for which a part of a prompt is expected to be kept by an engine.
 const KEPT_MS: u64 = 20_000;
+/// Time after which what another host told no longer counts.
+const PEER_MS: u64 = 2_000;
+/// Largest part of its time for which a decode engine reads prompts; above it each step of the
+/// generations is delayed.
+const MAX_READING_DUTY: f64 = 0.4;
 /// Prompt parts remembered for an engine.
 const MAX_KEPT: usize = 512;
 
@@ -14,12 +19,21 @@
     pub requests: u32,
     /// Generations of this host in flight.
     pub streams: u32,
-    /// Requests of other hosts, as they last told it.
-    pub peer_requests: u32,
+    /// Generations of this host as the other hosts were told last.
+    pub told_streams: u32,
+    peer_streams: IndexMap<u64, PeerStreams>,
     reading_until_ms: f64,
+    stalled_until_ms: f64,
     kept: IndexMap<u64, Kept>,
 }
 
+/// Generations of another host, as it last told.
+#[derive(Debug, Clone, Copy)]
+struct PeerStreams {
+    streams: u32,
+    told_ms: u64,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Kept {
     tokens: u32,
@@ -32,9 +46,32 @@
         (self.reading_until_ms - now_ms as f64).max(0.0)
     }
 
+    /// Reading by which the generations of a decode engine are being delayed, in milliseconds.
+    pub fn stall_ms(&self, now_ms: u64) -> f64 {
+        (self.stalled_until_ms - now_ms as f64).max(0.0) * MAX_READING_DUTY
+    }
+
     /// Adds a prompt whose reading takes `read_ms`.
     pub fn add_reading(&mut self, read_ms: f64, now_ms: u64) {
-        self.reading_until_ms = self.reading_until_ms.max(now_ms as f64) + read_ms;
+        let now_ms = now_ms as f64;
+        self.reading_until_ms = self.reading_until_ms.max(now_ms) + read_ms;
+        self.stalled_until_ms = self.stalled_until_ms.max(now_ms) + read_ms / MAX_READING_DUTY;
+    }
+
+    /// Generations in flight of all hosts.
+    pub fn all_streams(&self, now_ms: u64) -> u32 {
+        let told = self.peer_streams.values();
+        let fresh = told.filter(|peer| now_ms < peer.told_ms + PEER_MS);
+        self.streams + fresh.map(|peer| peer.streams).sum::<u32>()
+    }
+
+    /// Takes the number of generations of another host.
+    pub fn set_peer_streams(&mut self, peer: u64, streams: u32, now_ms: u64) {
+        let told = PeerStreams {
+            streams,
+            told_ms: now_ms,
+        };
+        self.peer_streams.insert(peer, told);
     }
 
     /// Corrects the forecast by a prompt that was to be read `late_ms` earlier than it was; negative
@@ -76,7 +113,8 @@
     pub fn restarted(&mut self) {
         self.reading_until_ms = 0.0;
         self.kept.clear();
-        self.peer_requests = 0;
+        self.stalled_until_ms = 0.0;
+        self.peer_streams.clear();
     }
 
     /// Sum of the tokens of all kept parts.
--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -1,4 +1,5 @@
-//! Exchange with the other hosts: which engine was given which prompt to read.
+//! Exchange with the other hosts: which engine was given which prompt to read, and how many answers
+//! each engine generates for a host.
 //!
 //! Each host sees only its own part of an engine's work. Datagrams tell the others of the rest
 //! within tens of milliseconds. Losing one only makes a forecast worse, so none is repeated.
@@ -11,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tokio::net::UdpSocket;
-use tokio::time::{Duration, sleep};
+use tokio::time::{Duration, Instant, sleep, sleep_until};
 use yucca_io::log;
 use yuccacove::event::Event;
 
@@ -23,6 +24,8 @@
 
 /// Interval in which prompts are collected before they are told.
 const SEND_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval in which the generations in flight are told when no prompt is.
+const COUNT_INTERVAL: Duration = Duration::from_millis(100);
 /// Most prompts in one datagram, which keeps it below the smallest common packet size.
 const MAX_READINGS: usize = 40;
 /// Largest datagram.
@@ -48,9 +51,20 @@
     pub shared_tokens: u32,
 }
 
+/// Generations of the sender on an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+struct Streams {
+    /// Hash of the engine's id.
+    engine: u64,
+    streams: u32,
+}
+
 #[derive(Debug, Serialize, Deserialize)]
 struct Datagram {
+    /// Hash of the sender's name.
+    sender: u64,
     readings: Vec<Reading>,
+    streams: Vec<Streams>,
 }
 
 /// The other hosts, and what they are to be told.
@@ -78,30 +92,39 @@
 /// Receives and sends datagrams for as long as the process lives.
 pub async fn exchange<B>(host: Rc<Host<B>>, socket: UdpSocket) {
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
-    let mut next_send = tokio::time::Instant::now();
+    let mut last_send = Instant::now();
     loop {
+        let interval = if host.peers.outbox.borrow().is_empty() {
+            COUNT_INTERVAL
+        } else {
+            SEND_INTERVAL
+        };
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, _)) => receive(&host, &buffer[..length]),
                 // An earlier datagram was refused by its receiver, which has stopped.
                 Err(_) => sleep(SEND_INTERVAL).await,
             },
-            () = tokio::time::sleep_until(next_send), if has_news(&host) => {
-                send(&host, &socket).await;
-                next_send = tokio::time::Instant::now() + SEND_INTERVAL;
+            () = sleep_until(last_send + interval) => {
+                send(&host, &socket);
+                last_send = Instant::now();
             }
             () = host.news.notified() => {}
         }
     }
 }
 
-fn has_news<B>(host: &Host<B>) -> bool {
-    !host.peers.outbox.borrow().is_empty()
-}
-
-async fn send<B>(host: &Host<B>, socket: &UdpSocket) {
+fn send<B>(host: &Host<B>, socket: &UdpSocket) {
     let readings = std::mem::take(&mut *host.peers.outbox.borrow_mut());
-    let datagram = Datagram { readings };
+    let streams = own_streams(host);
+    if readings.is_empty() && streams.is_empty() {
+        return;
+    }
+    let datagram = Datagram {
+        sender: hash_of(&host.deployment.name),
+        readings,
+        streams,
+    };
     let Ok(bytes) = bincode::serde::encode_to_vec(&datagram, bincode::config::standard()) else {
         return;
     };
@@ -111,6 +134,20 @@
     }
 }
 
+/// Generations on all engines that have had one since the host last told of them.
+fn own_streams<B>(host: &Host<B>) -> Vec<Streams> {
+    let mut directory = host.directory.borrow_mut();
+    let told = directory.iter_mut().filter_map(|back_end| {
+        let streams = back_end.load.streams;
+        let was_told = std::mem::replace(&mut back_end.load.told_streams, streams);
+        (streams > 0 || was_told > 0).then_some(Streams {
+            engine: back_end.id_hash(),
+            streams,
+        })
+    });
+    told.collect()
+}
+
 /// The hosts that are told; a new sample each time when there are too many.
 fn told<B>(host: &Host<B>) -> Vec<SocketAddr> {
     let addresses = host.peers.addresses.borrow();
@@ -124,17 +161,25 @@
 
 fn receive<B>(host: &Host<B>, bytes: &[u8]) {
     let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
-    let Ok((Datagram { readings }, _)) = decoded else {
+    let Ok((datagram, _)): Result<(Datagram, usize), _> = decoded else {
         return;
     };
     let now_ms = host.now_ms();
     let mut directory = host.directory.borrow_mut();
-    for reading in readings {
+    for told in datagram.streams {
+        if let Some(key) = directory.find_hash(told.engine) {
+            let load = &mut directory.get_mut(key).load;
+            load.set_peer_streams(datagram.sender, told.streams, now_ms);
+        }
+    }
+    for reading in datagram.readings {
         let Some(key) = directory.find_hash(reading.engine) else {
             continue;
         };
+        let read_ms = f64::from(reading.read_tenths_ms) / 10.0;
+        host.demand.borrow_mut().read(read_ms);
         let load = &mut directory.get_mut(key).load;
-        load.add_reading(f64::from(reading.read_tenths_ms) / 10.0, now_ms);
+        load.add_reading(read_ms, now_ms);
         if reading.shared_hash != 0 {
             load.keep(&[(reading.shared_hash, reading.shared_tokens)], now_ms);
         }
--- a/crates/yucca-serve/src/roles.rs
+++ b/crates/yucca-serve/src/roles.rs
@@ -197,12 +197,15 @@
             busy_ms = Some(now_ms);
         }
         let is_idle = busy_ms.is_none_or(|busy_ms| now_ms > busy_ms + IDLE_MS);
+        observe_demand(&host);
         let Some(authority) = lease.authority().filter(|a| may_order(&host, a)) else {
             continue;
         };
         for service in engine_services(&host) {
             let (keys, members) = pool(&host, &service.name, &mut pending);
-            for change in next_changes(&members, is_idle) {
+            let slots = service.slots;
+            let target = host.demand.borrow().decode_target(members.len(), slots);
+            for change in next_changes(&members, target, is_idle) {
                 let key = keys[change.engine];
                 order(&host, &lease, authority, key, change, service.switch_ms, &mut pending).await;
             }
@@ -210,6 +213,13 @@
     }
 }
 
+fn observe_demand<B>(host: &Host<B>) {
+    let now_ms = host.now_ms();
+    let mut directory = host.directory.borrow_mut();
+    let streams = directory.iter_mut().map(|b| b.load.all_streams(now_ms)).sum();
+    host.demand.borrow_mut().observe(streams, now_ms);
+}
+
 /// A successor waits until the orders of the holder before it are out of the way.
 fn may_order<B>(host: &Host<B>, authority: &Authority) -> bool {
     const FIRST_EPOCH: u64 = 1;
@@ -223,6 +233,7 @@
 
 struct EngineService {
     name: String,
+    slots: u32,
     switch_ms: u64,
 }
 
@@ -231,9 +242,11 @@
         return Vec::new();
     };
     let engines = config.services.iter().filter_map(|(name, service)| {
+        let engine = service.engine?;
         Some(EngineService {
             name: name.clone(),
-            switch_ms: service.engine?.switch_ms,
+            slots: engine.slots,
+            switch_ms: engine.switch_ms,
         })
     });
     engines.collect()
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -10,7 +10,7 @@
 use yuccacove::send_limit::{Cost, SendLimit};
 
 use crate::choose::hash_of;
-use crate::config::{Route, RouteKind};
+use crate::config::{EngineSpec, Route, RouteKind};
 use crate::directory::BackEndKey;
 use crate::host::Host;
 use crate::plain;
@@ -36,14 +36,8 @@
     let Some(service) = route.service(hash_of(&request.id)) else {
         return refuse(host, &request.id, Code::NoBackend, Some(RETRY_AFTER_MS));
     };
-    let tokens_per_event = config
-        .services
-        .get(service)
-        .and_then(|service| service.engine)
-        .map_or(1, |engine| engine.tokens_per_event);
-    let mut job = Job::new(host, request, route, service);
-    job.tokens_per_event = tokens_per_event;
-    let job = Rc::new(job);
+    let engine = config.services.get(service).and_then(|s| s.engine);
+    let job = Rc::new(Job::new(host, request, route, service, engine));
     let run = async {
         match job.route.kind {
             RouteKind::Stream { .. } => stream::run(&job).await,
@@ -75,8 +69,8 @@
     pub route: Route,
     /// Its service.
     pub service: String,
-    /// Most tokens in one event of the service's engines.
-    pub tokens_per_event: u32,
+    /// What its engines have in common.
+    pub engine: EngineSpec,
     /// When it was received.
     pub received: Instant,
     /// When the caller gets its final answer at the latest.
@@ -89,7 +83,13 @@
 }
 
 impl<B: BackEnds> Job<B> {
-    fn new(host: &Rc<Host<B>>, request: Request, route: &Route, service: &str) -> Self {
+    fn new(
+        host: &Rc<Host<B>>,
+        request: Request,
+        route: &Route,
+        service: &str,
+        engine: Option<EngineSpec>,
+    ) -> Self {
         let received = Instant::now();
         let left_ms = request.deadline_ms.unwrap_or(u64::MAX);
         let limit_ms = left_ms.min(route.timeout_ms);
@@ -98,7 +98,7 @@
             host: Rc::clone(host),
             request,
             service: service.to_owned(),
-            tokens_per_event: 1,
+            engine: engine.unwrap_or_default(),
             received,
             limit: received + Duration::from_millis(limit_ms),
             tried: RefCell::default(),
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -156,7 +156,8 @@
         service: &job.service,
         zone: &host.deployment.zone,
         gap_ms: job.route.target_gap_ms,
-        tokens_per_event: job.tokens_per_event,
+        tokens_per_event: job.engine.tokens_per_event,
+        slots: job.engine.slots,
     };
     choose::engines(&directory, &need, &tried, host.now_ms())
 }
@@ -227,6 +228,7 @@
     let now_ms = host.now_ms();
     let chain = job.request.prompt.as_ref().map(choose::chain);
     let chain = chain.unwrap_or_default();
+    host.demand.borrow_mut().read(read_ms);
     host.tell(peers::reading(host, key, read_ms, &chain));
     let mut directory = host.directory.borrow_mut();
     let load = &mut directory.get_mut(key).load;
--- a/src/phase_split.rs
+++ b/src/phase_split.rs
@@ -4,21 +4,75 @@
 //! decode engines stay that the loss of one leaves room for all streams.
 //!
 //! ```
-//! use yuccacove::phase_split::{Member, next_changes};
+//! use yuccacove::phase_split::{Member, PoolDemand, next_changes};
 //! use yuccacove::prompt_placement::Phase;
 //!
 //! let pool = [Member { phase: Phase::Decode, ..Member::default() }; 10];
-//! let changes = next_changes(&pool, true);
-//! assert_eq!(changes.len(), 8);
+//! let target = PoolDemand::default().decode_target(pool.len(), 64);
+//! let changes = next_changes(&pool, target, true);
+//! assert_eq!(changes.len(), 7);
 //! assert!(changes.iter().all(|change| change.to == Phase::Prefill));
 //! ```
 
 use crate::prompt_placement::Phase;
 
-/// Part of a pool that decodes.
-const DECODE_SHARE: f64 = 0.2;
+/// Part of a pool that decodes before any demand is known.
+const START_DECODE_SHARE: f64 = 0.3;
 /// Fewest decode engines of a pool of three or more.
 const MIN_DECODE: usize = 2;
+/// Part of its slots that a decode engine has in use at the peak.
+const SLOT_USE: f64 = 0.55;
+/// Part of its time that a prefill engine reads at the peak.
+const READING_USE: f64 = 0.6;
+/// Time in which a remembered peak falls by half. Bursts come back sooner than a change of phase
+/// pays.
+const PEAK_HALF_LIFE_MS: f64 = 20_000.0;
+/// Time over which the reading is averaged before it counts as a peak.
+const READING_WINDOW_MS: u64 = 1_000;
+
+/// Peaks of a pool's demand, with a slow decline.
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
+pub struct PoolDemand {
+    streams_peak: f64,
+    reading_peak: f64,
+    read_ms: f64,
+    window_start_ms: u64,
+}
+
+impl PoolDemand {
+    /// Adds a prompt that takes `read_ms` on a prefill engine.
+    pub fn read(&mut self, read_ms: f64) {
+        self.read_ms += read_ms;
+    }
+
+    /// Takes the number of generations in flight at `now_ms`.
+    pub fn observe(&mut self, streams: u32, now_ms: u64) {
+        let elapsed_ms = now_ms.saturating_sub(self.window_start_ms);
+        if elapsed_ms < READING_WINDOW_MS {
+            self.streams_peak = self.streams_peak.max(f64::from(streams));
+            return;
+        }
+        let decline = 0.5_f64.powf(elapsed_ms as f64 / PEAK_HALF_LIFE_MS);
+        let reading = self.read_ms / elapsed_ms as f64;
+        self.streams_peak = (self.streams_peak * decline).max(f64::from(streams));
+        self.reading_peak = (self.reading_peak * decline).max(reading);
+        self.read_ms = 0.0;
+        self.window_start_ms = now_ms;
+    }
+
+    /// Decode engines out of `engines` with `slots` each.
+    pub fn decode_target(&self, engines: usize, slots: u32) -> usize {
+        let decode = self.streams_peak / (f64::from(slots.max(1)) * SLOT_USE);
+        let prefill = self.reading_peak / READING_USE;
+        let share = if decode + prefill > 0.0 {
+            decode / (decode + prefill)
+        } else {
+            START_DECODE_SHARE
+        };
+        let target = (engines as f64 * share).round() as usize;
+        target.max(MIN_DECODE).min(engines.saturating_sub(1)).max(1)
+    }
+}
 
 /// An engine of a pool.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -40,20 +94,13 @@
     pub to: Phase,
 }
 
-/// Number of decode engines that a pool of `engines` needs.
-pub fn decode_target(engines: usize) -> usize {
-    let share = (engines as f64 * DECODE_SHARE).ceil() as usize;
-    share.max(MIN_DECODE).min(engines.saturating_sub(1)).max(1)
-}
-
 /// The changes to order now. While the pool is idle all are made at once; under load one engine at
-/// a time is away.
-pub fn next_changes(pool: &[Member], is_idle: bool) -> Vec<Change> {
+/// a time is away, and one engine more or less than `target` decode engines is left as it is.
+pub fn next_changes(pool: &[Member], target: usize, is_idle: bool) -> Vec<Change> {
     let is_away = pool.iter().any(|member| member.is_changing);
     if pool.is_empty() || (is_away && !is_idle) {
         return Vec::new();
     }
-    let target = decode_target(pool.len());
     let decode = pool.iter().filter(|m| m.phase == Phase::Decode).count();
     let to = if decode > target {
         Phase::Prefill
@@ -61,7 +108,11 @@
         Phase::Decode
     };
     let wanted = decode.abs_diff(target);
-    let at_once = if is_idle { wanted } else { wanted.min(1) };
+    let at_once = match (is_idle, wanted) {
+        (true, wanted) => wanted,
+        (false, 0 | 1) => 0,
+        (false, _) => 1,
+    };
     let mut after = pool.to_vec();
     let mut changes = Vec::new();
     for _ in 0..at_once {
--- a/src/prompt_placement.rs
+++ b/src/prompt_placement.rs
@@ -27,8 +27,8 @@
 const DECODE_PREFILL_SHARE: f64 = 0.5;
 /// Time of one decode step with few requests in the batch.
 const STEP_MS: f64 = 4.5;
-/// Added time of a step for each request in the batch whose context is long.
-const STEP_MS_PER_STREAM: f64 = 0.05;
+/// Cost of each request in the batch, which spreads the generations over the engines.
+const STEP_MS_PER_STREAM: f64 = 0.3;
 /// Fixed time of a transfer of KV cache, calls included.
 const TRANSFER_SETUP_MS: f64 = 5.0;
 /// Time that a transfer adds for a thousand tokens within an availability zone.
@@ -36,7 +36,12 @@
 /// Cost of a kilobyte sent to another availability zone, as milliseconds of delay.
 const CROSS_ZONE_MS_PER_KB: f64 = 4.0;
 /// Part of the allowed pause between events that reading prompts may take on a decode engine.
-const STALL_SHARE: f64 = 0.8;
+const STALL_SHARE: f64 = 0.65;
+
+/// Part of its slots from which an engine counts as full.
+const NEARLY_FULL: f64 = 0.9;
+/// Time for which a generation takes a slot.
+const GENERATION_MS: f64 = 1_500.0;
 
 /// What an engine does at present.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -55,8 +60,12 @@
     pub phase: Phase,
     /// Work that is read before a new prompt, in milliseconds.
     pub pending_ms: f64,
+    /// Reading by which its generations are being delayed, in milliseconds.
+    pub stall_ms: f64,
     /// Answers that are being generated.
     pub streams: u32,
+    /// Answers that can be generated at once; 0 when unknown.
+    pub slots: u32,
     /// Leading tokens of the prompt whose KV cache the engine is expected to keep.
     pub kept_tokens: u32,
     /// Leading tokens that it keeps or can fetch from another engine.
@@ -145,10 +154,11 @@
         .filter(|(_, engine)| engine.phase == Phase::Decode)
         .filter_map(|(decode, engine)| {
             let read = reading(engine, prompt, engine.speed * DECODE_PREFILL_SHARE);
-            if engine.pending_ms + read.own_ms > max_stall_ms {
+            if engine.stall_ms + read.own_ms > max_stall_ms {
                 return None;
             }
-            let first_token_ms = engine.pending_ms + read.total_ms() + step_ms(engine);
+            let first_token_ms =
+                engine.pending_ms + read.total_ms() + step_ms(engine) + slot_ms(engine);
             let bytes = zone_ms(engine, prompt.request_kb + prompt.answer_kb);
             let choice = Choice {
                 placement: Placement::OneStage { decode },
@@ -214,7 +224,7 @@
         .map(|(at, engine)| {
             let bytes = zone_ms(engine, prompt.request_kb + prompt.answer_kb);
             // Reading on the decode engine is interleaved, so that a part of it delays the step.
-            let busy_ms = step_ms(engine) + engine.pending_ms.min(20.0);
+            let busy_ms = step_ms(engine) + engine.pending_ms.min(20.0) + slot_ms(engine);
             (transfer_ms + busy_ms + bytes + engine.fault_ms, at)
         })
         .min_by(|a, b| a.0.total_cmp(&b.0))?;
@@ -225,7 +235,8 @@
         first_token_ms: reader.pending_ms
             + read.total_ms()
             + transfer_ms
-            + step_ms(&engines[decode]),
+            + step_ms(&engines[decode])
+            + slot_ms(&engines[decode]),
         read_ms: read.own_ms,
     };
     Some((read_score + decode_score, choice))
@@ -235,6 +246,16 @@
     STEP_MS + STEP_MS_PER_STREAM * f64::from(engine.streams)
 }
 
+/// Wait for a free slot. It begins before the last slot is taken, since the count is late.
+fn slot_ms(engine: &EngineView) -> f64 {
+    if engine.slots == 0 {
+        return 0.0;
+    }
+    let slots = f64::from(engine.slots);
+    let over = (f64::from(engine.streams) + 1.0 - NEARLY_FULL * slots).max(0.0);
+    over * GENERATION_MS / slots
+}
+
 fn zone_ms(engine: &EngineView, kilobytes: f64) -> f64 {
     if engine.is_remote {
         kilobytes * CROSS_ZONE_MS_PER_KB
