Announce engines that change phase and read less on decode engines

Cause: hosts sent requests to engines that were changing their phase and were refused; a request that had not run was answered 502; reading in half of the steps of a decode engine delays nine tokens beyond the allowed pause. Change: the holder announces a change before it orders it; the code of a refusal follows from what is known of the run; decode engines read a fifth of their time and no more than a third of a pause at once.

--- a/crates/yucca-serve/src/choose.rs
+++ b/crates/yucca-serve/src/choose.rs
@@ -173,7 +173,10 @@
 ) -> Vec<BackEndKey> {
     let mut usable = directory.usable(service, now_ms);
     usable.retain(|key| !tried.contains(key));
-    let is_avoided = |key: &BackEndKey| directory.get(*key).fitness.is_avoided(now_ms);
+    let is_avoided = |key: &BackEndKey| {
+        let back_end = directory.get(*key);
+        back_end.fitness.is_avoided(now_ms) || back_end.is_away(now_ms)
+    };
     let sound: Vec<_> = usable.iter().copied().filter(|k| !is_avoided(k)).collect();
     if sound.is_empty() { usable } else { sound }
 }
--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -70,6 +70,7 @@
     /// What its answers say of it.
     pub fitness: Fitness,
     id_hash: u64,
+    away_until_ms: u64,
     revision: u64,
     standing: Standing,
 }
@@ -80,6 +81,17 @@
         self.id_hash
     }
 
+    /// Records that the engine takes no requests until it is listed with another phase, or
+    /// `until_ms` at the latest.
+    pub fn set_away(&mut self, until_ms: u64) {
+        self.away_until_ms = until_ms;
+    }
+
+    /// Whether the engine takes no requests at present.
+    pub fn is_away(&self, now_ms: u64) -> bool {
+        now_ms < self.away_until_ms
+    }
+
     fn is_serving(&self, now_ms: u64) -> bool {
         match self.standing {
             Standing::Serving => true,
@@ -207,6 +219,9 @@
         back_end.target.address = entry.address;
         let is_draining = entry.is_draining;
         back_end.entry = entry;
+        if is_phase_change || is_restart {
+            back_end.away_until_ms = 0;
+        }
         if is_restart {
             back_end.fitness = Fitness::default();
             back_end.load.restarted();
@@ -274,6 +289,7 @@
             load: Load::default(),
             fitness: Fitness::default(),
             id_hash: hash_of(id),
+            away_until_ms: 0,
             revision,
             standing: if is_draining {
                 Standing::Leaving { since_ms: 0 }
--- a/crates/yucca-serve/src/loads.rs
+++ b/crates/yucca-serve/src/loads.rs
@@ -8,7 +8,7 @@
 const PEER_MS: u64 = 2_000;
 /// Largest part of its time for which a decode engine reads prompts; above it each step of the
 /// generations is delayed.
-const MAX_READING_DUTY: f64 = 0.4;
+const MAX_READING_DUTY: f64 = 0.2;
 /// Prompt parts remembered for an engine.
 const MAX_KEPT: usize = 512;
 
--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -65,6 +65,16 @@
     sender: u64,
     readings: Vec<Reading>,
     streams: Vec<Streams>,
+    away: Vec<Away>,
+}
+
+/// An engine that takes no requests for a time, as it changes its phase.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Away {
+    /// Hash of the engine's id.
+    pub engine: u64,
+    /// Longest time that it takes.
+    pub for_ms: u32,
 }
 
 /// The other hosts, and what they are to be told.
@@ -72,6 +82,7 @@
 pub struct Peers {
     addresses: RefCell<IndexMap<String, SocketAddr>>,
     outbox: RefCell<Vec<Reading>>,
+    away: RefCell<Vec<Away>>,
 }
 
 impl Peers {
@@ -83,6 +94,15 @@
         }
     }
 
+    /// Tells the other hosts that an engine takes no requests.
+    pub fn tell_away(&self, away: Away) {
+        self.away.borrow_mut().push(away);
+    }
+
+    fn has_news(&self) -> bool {
+        !self.outbox.borrow().is_empty() || !self.away.borrow().is_empty()
+    }
+
     /// Number of other hosts.
     pub fn count(&self) -> usize {
         self.addresses.borrow().len()
@@ -94,10 +114,10 @@
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
     let mut last_send = Instant::now();
     loop {
-        let interval = if host.peers.outbox.borrow().is_empty() {
-            COUNT_INTERVAL
-        } else {
+        let interval = if host.peers.has_news() {
             SEND_INTERVAL
+        } else {
+            COUNT_INTERVAL
         };
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
@@ -116,14 +136,16 @@
 
 fn send<B>(host: &Host<B>, socket: &UdpSocket) {
     let readings = std::mem::take(&mut *host.peers.outbox.borrow_mut());
+    let away = std::mem::take(&mut *host.peers.away.borrow_mut());
     let streams = own_streams(host);
-    if readings.is_empty() && streams.is_empty() {
+    if readings.is_empty() && streams.is_empty() && away.is_empty() {
         return;
     }
     let datagram = Datagram {
         sender: hash_of(&host.deployment.name),
         readings,
         streams,
+        away,
     };
     let Ok(bytes) = bincode::serde::encode_to_vec(&datagram, bincode::config::standard()) else {
         return;
@@ -172,6 +194,11 @@
             load.set_peer_streams(datagram.sender, told.streams, now_ms);
         }
     }
+    for away in datagram.away {
+        if let Some(key) = directory.find_hash(away.engine) {
+            directory.get_mut(key).set_away(now_ms + u64::from(away.for_ms));
+        }
+    }
     for reading in datagram.readings {
         let Some(key) = directory.find_hash(reading.engine) else {
             continue;
--- a/crates/yucca-serve/src/roles.rs
+++ b/crates/yucca-serve/src/roles.rs
@@ -21,6 +21,7 @@
 
 use crate::directory::BackEndKey;
 use crate::host::Host;
+use crate::peers::Away;
 use crate::ports::{BackEnds, CallFault, Kind, Object, ObjectStore, OrderReply, PhaseOrder, StoreFault};
 
 /// Name of the lease's object.
@@ -35,6 +36,10 @@
 const UNKNOWN_ORDER_MS: u64 = 13_000;
 /// Time that an engine may need beyond its change before it is listed with its new phase.
 const LIST_SLACK_MS: u64 = 2_000;
+/// Datagrams by which the other hosts learn that an engine is about to change.
+const ANNOUNCEMENTS: u32 = 3;
+/// Interval of these datagrams.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(15);
 /// Pause before an engine that refused an order is ordered again.
 const REFUSED_MS: u64 = 2_000;
 /// Time without a request after which the pool counts as idle.
@@ -281,6 +286,23 @@
     (keys, members)
 }
 
+/// Keeps requests off an engine before it is ordered to change: those that wait there are refused.
+async fn announce<B>(host: &Host<B>, key: BackEndKey, switch_ms: u64) {
+    let for_ms = switch_ms + LIST_SLACK_MS;
+    let away = Away {
+        engine: host.directory.borrow().get(key).id_hash(),
+        for_ms: u32::try_from(for_ms).unwrap_or(u32::MAX),
+    };
+    let until_ms = host.now_ms() + for_ms;
+    host.directory.borrow_mut().get_mut(key).set_away(until_ms);
+    // Datagrams may be lost.
+    for _ in 0..ANNOUNCEMENTS {
+        host.peers.tell_away(away);
+        host.news.notify_one();
+        sleep(ANNOUNCE_INTERVAL).await;
+    }
+}
+
 async fn order<B: BackEnds>(
     host: &Rc<Host<B>>,
     lease: &RoleLease,
@@ -301,6 +323,7 @@
             return pending.set(key, host.now_ms() + REFUSED_MS, change.to);
         }
     };
+    announce(host, key, switch_ms).await;
     // Reading the report may have taken longer than the lease lasts.
     if lease.authority().map(|a| a.epoch) != Some(authority.epoch) {
         return;
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::{Duration, Instant, timeout_at};
 use yucca_io::log;
-use yuccacove::code::Code;
+use yuccacove::code::{Code, Outcome};
 use yuccacove::event::Event;
 use yuccacove::send_limit::{Cost, SendLimit};
 
@@ -239,7 +239,8 @@
         if !self.may_have_run.get() {
             let code = match code {
                 Code::DeadlineExceeded => Code::DeadlineUnreachable,
-                other => other,
+                other if other.outcome() == Outcome::NotRun => other,
+                _ => Code::NoBackend,
             };
             return refuse(host, &self.request.id, code, Some(retry_after_ms));
         }
--- a/src/prompt_placement.rs
+++ b/src/prompt_placement.rs
@@ -36,7 +36,7 @@
 /// Cost of a kilobyte sent to another availability zone, as milliseconds of delay.
 const CROSS_ZONE_MS_PER_KB: f64 = 4.0;
 /// Part of the allowed pause between events that reading prompts may take on a decode engine.
-const STALL_SHARE: f64 = 0.65;
+const STALL_SHARE: f64 = 0.35;
 
 /// Part of its slots from which an engine counts as full.
 const NEARLY_FULL: f64 = 0.9;
