--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -149,6 +149,16 @@
         &mut self.back_ends[key.0]
     }
 
+    /// Number of back ends that were ever listed.
+    pub fn len(&self) -> usize {
+        self.back_ends.len()
+    }
+
+    /// Whether none was ever listed.
+    pub fn is_empty(&self) -> bool {
+        self.back_ends.is_empty()
+    }
+
     /// All back ends, to be changed.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut BackEnd> {
         self.back_ends.iter_mut()
--- a/crates/yucca-serve/src/roles.rs
+++ b/crates/yucca-serve/src/roles.rs
@@ -44,8 +44,8 @@
 const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(15);
 /// Pause before an engine that refused an order is ordered again.
 const REFUSED_MS: u64 = 2_000;
-/// Time without a request after which the pool counts as idle.
-const IDLE_MS: u64 = 1_000;
+/// Time without a new back end after which all are taken as listed.
+const SETTLED_MS: u64 = 1_200;
 
 /// The lease on engine roles as this host sees it.
 #[derive(Debug)]
@@ -193,18 +193,20 @@
 /// Orders changes while this host holds the lease.
 pub async fn plan_roles<B: BackEnds>(host: Rc<Host<B>>, lease: Rc<RoleLease>) {
     let mut pending = Pending::default();
-    let mut requests_before = 0;
-    let mut busy_ms = None;
+    let mut listed = (0, 0);
     loop {
         sleep(PLAN_INTERVAL).await;
         let now_ms = host.now_ms();
-        let requests = host.counts.requests.get();
-        if requests != requests_before {
-            requests_before = requests;
-            busy_ms = Some(now_ms);
-        }
-        let is_idle = busy_ms.is_none_or(|busy_ms| now_ms > busy_ms + IDLE_MS);
         observe_demand(&host);
+        // While engines still register, the split of the few that are listed is no use.
+        let back_ends = host.directory.borrow().len();
+        if listed.0 != back_ends {
+            listed = (back_ends, now_ms);
+        }
+        if now_ms < listed.1 + SETTLED_MS {
+            continue;
+        }
+        let is_idle = !host.demand.borrow().is_known();
         let Some(authority) = lease.authority().filter(|a| may_order(&host, a)) else {
             continue;
         };
--- a/src/phase_split.rs
+++ b/src/phase_split.rs
@@ -27,6 +27,8 @@
 /// Time in which a remembered peak falls by half. Bursts come back sooner than a change of phase
 /// pays.
 const PEAK_HALF_LIFE_MS: f64 = 20_000.0;
+/// Time of observation before the demand is trusted: reading begins before its streams do.
+const MATURE_MS: u64 = 4_000;
 /// Time over which the reading is averaged before it counts as a peak.
 const READING_WINDOW_MS: u64 = 1_000;
 
@@ -37,6 +39,8 @@
     reading_peak: f64,
     read_ms: f64,
     window_start_ms: u64,
+    first_ms: Option<u64>,
+    is_mature: bool,
 }
 
 impl PoolDemand {
@@ -47,6 +51,11 @@
 
     /// Takes the number of generations in flight at `now_ms`.
     pub fn observe(&mut self, streams: u32, now_ms: u64) {
+        if self.first_ms.is_none() && (streams > 0 || self.read_ms > 0.0) {
+            self.first_ms = Some(now_ms);
+            self.window_start_ms = now_ms;
+        }
+        self.is_mature |= self.first_ms.is_some_and(|first_ms| now_ms >= first_ms + MATURE_MS);
         let elapsed_ms = now_ms.saturating_sub(self.window_start_ms);
         if elapsed_ms < READING_WINDOW_MS {
             self.streams_peak = self.streams_peak.max(f64::from(streams));
@@ -60,11 +69,16 @@
         self.window_start_ms = now_ms;
     }
 
+    /// Whether any demand was seen.
+    pub fn is_known(&self) -> bool {
+        self.first_ms.is_some()
+    }
+
     /// Decode engines out of `engines` with `slots` each.
     pub fn decode_target(&self, engines: usize, slots: u32) -> usize {
         let decode = self.streams_peak / (f64::from(slots.max(1)) * SLOT_USE);
         let prefill = self.reading_peak / READING_USE;
-        let share = if decode + prefill > 0.0 {
+        let share = if self.is_mature {
             decode / (decode + prefill)
         } else {
             START_DECODE_SHARE
