Read a prompt apart again after a failed read

Cause: after a read that failed, the whole prompt was read on a decode engine, where 12,000 tokens delay all of its streams by 0.4 s; a route of two attempts allows another prefill engine instead. The forecast of the fallback was that of a prefill engine.

--- a/crates/yucca-serve/src/choose.rs
+++ b/crates/yucca-serve/src/choose.rs
@@ -2,7 +2,7 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use yuccacove::prompt_placement::{self, Choice, EngineView, Placement};
+use yuccacove::prompt_placement::{self, Choice, EngineView, Phase, Placement};
 
 use crate::directory::{BackEndKey, Directory};
 use crate::request::{Prompt, Request};
@@ -78,6 +78,8 @@
 /// What the choice of engines depends on beside the directory.
 #[derive(Debug, Clone, Copy)]
 pub struct Need<'a> {
+    /// Whether another engine may still read the prompt for the one that generates.
+    pub may_read_apart: bool,
     /// The request.
     pub request: &'a Request,
     /// Service.
@@ -99,7 +101,7 @@
     tried: &[BackEndKey],
     now_ms: u64,
 ) -> Option<EngineChoice> {
-    let keys = fit(directory, need.service, tried, now_ms);
+    let mut keys = fit(directory, need.service, tried, now_ms);
     let empty = Prompt::default();
     let prompt = need.request.prompt.as_ref().unwrap_or(&empty);
     let chain = chain(prompt);
@@ -107,12 +109,15 @@
         .iter()
         .map(|key| directory.get(*key).load.kept_tokens(&chain, now_ms))
         .collect();
-    let keeper = (0..keys.len()).max_by_key(|at| kept[*at]);
-    let reachable = keeper.map_or(0, |at| kept[at]);
+    let keeper = keys.iter().zip(&kept).max_by_key(|(_, kept)| **kept);
+    let (keeper, reachable) = keeper.map_or((None, 0), |(key, kept)| (Some(*key), *kept));
+    let kept_by = |key: BackEndKey| directory.get(key).load.kept_tokens(&chain, now_ms);
+    if !need.may_read_apart {
+        keys.retain(|key| directory.get(*key).entry.phase == Phase::Decode);
+    }
     let views: Vec<EngineView> = keys
         .iter()
-        .zip(&kept)
-        .map(|(key, kept_tokens)| {
+        .map(|key| {
             let back_end = directory.get(*key);
             let excess_rate = (back_end.fitness.failure_rate() - TOLERATED_RATE).max(0.0);
             EngineView {
@@ -121,7 +126,7 @@
                 stall_ms: back_end.load.stall_ms(now_ms),
                 streams: back_end.load.all_streams(now_ms),
                 slots: need.slots,
-                kept_tokens: *kept_tokens,
+                kept_tokens: kept_by(*key),
                 reachable_tokens: reachable,
                 is_remote: back_end.entry.zone != need.zone,
                 speed: 1.0,
@@ -139,17 +144,10 @@
     let choice = prompt_placement::choose(&views, &prompt)?;
     let mut chosen = with_keys(&choice, &keys);
     let reader = chosen.prefill.unwrap_or(chosen.decode);
-    chosen.keeper = keeper
-        .filter(|at| keys[*at] != reader && reachable > kept_by(&keys, &kept, reader))
-        .map(|at| keys[at]);
+    chosen.keeper = keeper.filter(|key| *key != reader && reachable > kept_by(reader));
     Some(chosen)
 }
 
-fn kept_by(keys: &[BackEndKey], kept: &[u32], engine: BackEndKey) -> u32 {
-    let at = keys.iter().position(|key| *key == engine);
-    at.map_or(0, |at| kept[at])
-}
-
 fn with_keys(choice: &Choice, keys: &[BackEndKey]) -> EngineChoice {
     let (prefill, decode) = match choice.placement {
         Placement::TwoStage { prefill, decode } => (Some(keys[prefill]), keys[decode]),
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -84,7 +84,6 @@
     resume_after: Option<u64>,
 ) -> Result<Opened<B>, Box<Reply>> {
     let host = &job.host;
-    let mut has_read = false;
     loop {
         let Some(choice) = choose_engines(job) else {
             return Err(Box::new(job.refuse(Code::NoBackend)));
@@ -98,26 +97,23 @@
             host: Rc::clone(host),
             handle: None,
         };
-        if let Some(prefill) = choice.prefill
-            && !has_read
-            && job.begin_read()
-        {
+        if let Some(prefill) = choice.prefill {
+            if !job.begin_read() {
+                return Err(Box::new(job.refuse(Code::NoBackend)));
+            }
             match read_prompt(job, prefill, &choice).await {
                 Ok(handle) => lease.handle = Some(handle),
                 Err(fault) => {
-                    let is_refused = matches!(fault, CallFault::NotRun { .. });
                     // Reading a prompt is no run, whatever became of the call.
                     let state = job.run_state();
                     job.failed(prefill, &fault, state);
                     job.set_may_have_run(state == RunState::MayHaveRun);
-                    has_read |= matches!(fault, CallFault::Broken(_) | CallFault::Crossed);
-                    if is_refused && job.sends().run().is_none() {
+                    if job.sends().run().is_none() {
                         return Err(Box::new(job.refuse(Code::NoBackend)));
                     }
                     continue;
                 }
             }
-            has_read = true;
         }
         let before = job.sends();
         if !job.begin_run() {
@@ -152,6 +148,7 @@
     let directory = host.directory.borrow();
     let tried = job.tried.borrow();
     let need = Need {
+        may_read_apart: job.sends().read().is_some(),
         request: &job.request,
         service: &job.service,
         zone: &host.deployment.zone,
