Count the memory of generations beside their slots

Cause: 64 generations of plan-review take more than an engine's memory, so that an engine with free slots can be full.

--- a/crates/yucca-serve/src/choose.rs
+++ b/crates/yucca-serve/src/choose.rs
@@ -92,6 +92,8 @@
     pub tokens_per_event: u32,
     /// Requests that an engine runs at once.
     pub slots: u32,
+    /// Memory of an engine in tokens.
+    pub memory_tokens: u64,
 }
 
 /// The engines for a generation, except those in `tried`.
@@ -126,6 +128,8 @@
                 stall_ms: back_end.load.stall_ms(now_ms),
                 streams: back_end.load.all_streams(now_ms),
                 slots: need.slots,
+                memory_use: back_end.load.all_tokens(now_ms) as f64
+                    / need.memory_tokens.max(1) as f64,
                 kept_tokens: kept_by(*key),
                 reachable_tokens: reachable,
                 is_remote: back_end.entry.zone != need.zone,
--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -15,6 +15,7 @@
 
 use crate::config::ServingConfig;
 use crate::directory::{BackEndKey, Directory};
+use crate::loads::Share;
 use crate::peers::{Peers, Reading};
 use crate::ports::Target;
 
@@ -207,22 +208,17 @@
 pub struct InFlight<B> {
     host: Rc<Host<B>>,
     key: BackEndKey,
-    is_stream: bool,
+    share: Share,
 }
 
 impl<B> InFlight<B> {
     /// Puts a request on the load of a back end.
-    pub fn start(host: &Rc<Host<B>>, key: BackEndKey, is_stream: bool) -> Self {
-        {
-            let mut directory = host.directory.borrow_mut();
-            let load = &mut directory.get_mut(key).load;
-            load.requests += 1;
-            load.streams += u32::from(is_stream);
-        }
+    pub fn start(host: &Rc<Host<B>>, key: BackEndKey, share: Share) -> Self {
+        host.directory.borrow_mut().get_mut(key).load.add(share);
         Self {
             host: Rc::clone(host),
             key,
-            is_stream,
+            share,
         }
     }
 }
@@ -230,8 +226,6 @@
 impl<B> Drop for InFlight<B> {
     fn drop(&mut self) {
         let mut directory = self.host.directory.borrow_mut();
-        let load = &mut directory.get_mut(self.key).load;
-        load.requests -= 1;
-        load.streams -= u32::from(self.is_stream);
+        directory.get_mut(self.key).load.remove(self.share);
     }
 }
--- a/crates/yucca-serve/src/loads.rs
+++ b/crates/yucca-serve/src/loads.rs
@@ -12,6 +12,18 @@
 /// Prompt parts remembered for an engine.
 const MAX_KEPT: usize = 512;
 
+/// What a request takes of a back end while it runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Share {
+    /// A place among its requests.
+    Request,
+    /// A slot, and memory for this many tokens.
+    Generation {
+        /// Tokens of the prompt.
+        tokens: u32,
+    },
+}
+
 /// Work on one back end, as far as this host knows it.
 #[derive(Debug, Default)]
 pub struct Load {
@@ -19,6 +31,8 @@
     pub requests: u32,
     /// Generations of this host in flight.
     pub streams: u32,
+    /// Tokens in memory for generations of this host.
+    pub tokens: u64,
     /// Generations of this host as the other hosts were told last.
     pub told_streams: u32,
     peer_streams: IndexMap<u64, PeerStreams>,
@@ -31,6 +45,7 @@
 #[derive(Debug, Clone, Copy)]
 struct PeerStreams {
     streams: u32,
+    tokens: u64,
     told_ms: u64,
 }
 
@@ -41,6 +56,24 @@
 }
 
 impl Load {
+    /// Puts a request of this host on the load.
+    pub fn add(&mut self, share: Share) {
+        self.requests += 1;
+        if let Share::Generation { tokens } = share {
+            self.streams += 1;
+            self.tokens += u64::from(tokens);
+        }
+    }
+
+    /// Takes a request of this host off the load.
+    pub fn remove(&mut self, share: Share) {
+        self.requests -= 1;
+        if let Share::Generation { tokens } = share {
+            self.streams -= 1;
+            self.tokens -= u64::from(tokens);
+        }
+    }
+
     /// Work that the engine reads before a new prompt, in milliseconds.
     pub fn pending_ms(&self, now_ms: u64) -> f64 {
         (self.reading_until_ms - now_ms as f64).max(0.0)
@@ -65,10 +98,18 @@
         self.streams + fresh.map(|peer| peer.streams).sum::<u32>()
     }
 
-    /// Takes the number of generations of another host.
-    pub fn set_peer_streams(&mut self, peer: u64, streams: u32, now_ms: u64) {
+    /// Tokens in memory for the generations of all hosts.
+    pub fn all_tokens(&self, now_ms: u64) -> u64 {
+        let told = self.peer_streams.values();
+        let fresh = told.filter(|peer| now_ms < peer.told_ms + PEER_MS);
+        self.tokens + fresh.map(|peer| peer.tokens).sum::<u64>()
+    }
+
+    /// Takes the number of generations of another host, and their tokens in memory.
+    pub fn set_peer_streams(&mut self, peer: u64, streams: u32, tokens: u64, now_ms: u64) {
         let told = PeerStreams {
             streams,
+            tokens,
             told_ms: now_ms,
         };
         self.peer_streams.insert(peer, told);
--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -57,6 +57,8 @@
     /// Hash of the engine's id.
     engine: u64,
     streams: u32,
+    /// Their tokens in memory.
+    tokens: u64,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -165,6 +167,7 @@
         (streams > 0 || was_told > 0).then_some(Streams {
             engine: back_end.id_hash(),
             streams,
+            tokens: back_end.load.tokens,
         })
     });
     told.collect()
@@ -191,7 +194,7 @@
     for told in datagram.streams {
         if let Some(key) = directory.find_hash(told.engine) {
             let load = &mut directory.get_mut(key).load;
-            load.set_peer_streams(datagram.sender, told.streams, now_ms);
+            load.set_peer_streams(datagram.sender, told.streams, told.tokens, now_ms);
         }
     }
     for away in datagram.away {
--- a/crates/yucca-serve/src/plain.rs
+++ b/crates/yucca-serve/src/plain.rs
@@ -9,6 +9,7 @@
 
 use crate::choose;
 use crate::host::InFlight;
+use crate::loads::Share;
 use crate::ports::{Answer, AnswerBody, BackEnds, CallFault};
 use crate::reply::{Interrupted, Reply};
 use crate::serve::Job;
@@ -32,7 +33,7 @@
         let Some(key) = key.filter(|_| job.begin_run()) else {
             return failed_answer.unwrap_or_else(|| job.refuse(Code::NoBackend));
         };
-        let in_flight = InFlight::start(host, key, false);
+        let in_flight = InFlight::start(host, key, Share::Request);
         let state = job.run_state();
         job.set_may_have_run(true);
         let target = host.target(key);
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -15,6 +15,7 @@
 use crate::directory::BackEndKey;
 use crate::events::EventBuffer;
 use crate::host::{Host, InFlight};
+use crate::loads::Share;
 use crate::peers;
 use crate::ports::{Answer, AnswerBody, BackEnds, CallFault, PromptHandle};
 use crate::reply::{Interrupted, Reply};
@@ -120,7 +121,8 @@
             return Err(Box::new(job.refuse(Code::BackendFailed)));
         }
         let key = choice.decode;
-        let in_flight = InFlight::start(host, key, true);
+        let tokens = job.request.prompt.as_ref().map_or(0, |p| p.tokens);
+        let in_flight = InFlight::start(host, key, Share::Generation { tokens });
         let state = job.run_state();
         match start_run(job, key, &choice, &lease, resume_after).await {
             Ok(answer) => {
@@ -155,6 +157,7 @@
         gap_ms: job.route.target_gap_ms,
         tokens_per_event: job.engine.tokens_per_event,
         slots: job.engine.slots,
+        memory_tokens: job.engine.kv_tokens,
     };
     choose::engines(&directory, &need, &tried, host.now_ms())
 }
@@ -171,7 +174,7 @@
     choice: &EngineChoice,
 ) -> Result<PromptHandle, CallFault> {
     let host = &job.host;
-    let _in_flight = InFlight::start(host, key, false);
+    let _in_flight = InFlight::start(host, key, Share::Request);
     let target = host.target(key);
     let started_ms = host.now_ms();
     let pending_ms = begin_reading(job, key, choice.read_ms);
--- a/src/prompt_placement.rs
+++ b/src/prompt_placement.rs
@@ -28,7 +28,9 @@
 /// Time of one decode step with few requests in the batch.
 const STEP_MS: f64 = 4.5;
 /// Cost of each request in the batch, which spreads the generations over the engines.
-const STEP_MS_PER_STREAM: f64 = 0.3;
+const STEP_MS_PER_STREAM: f64 = 0.2;
+/// Cost of a full memory, which spreads long contexts over the engines.
+const STEP_MS_FULL_MEMORY: f64 = 15.0;
 /// Fixed time of a transfer of KV cache, calls included.
 const TRANSFER_SETUP_MS: f64 = 5.0;
 /// Time that a transfer adds for a thousand tokens within an availability zone.
@@ -66,6 +68,8 @@
     pub streams: u32,
     /// Answers that can be generated at once; 0 when unknown.
     pub slots: u32,
+    /// Part of its memory that those answers take.
+    pub memory_use: f64,
     /// Leading tokens of the prompt whose KV cache the engine is expected to keep.
     pub kept_tokens: u32,
     /// Leading tokens that it keeps or can fetch from another engine.
@@ -243,17 +247,19 @@
 }
 
 fn step_ms(engine: &EngineView) -> f64 {
-    STEP_MS + STEP_MS_PER_STREAM * f64::from(engine.streams)
+    STEP_MS
+        + STEP_MS_PER_STREAM * f64::from(engine.streams)
+        + STEP_MS_FULL_MEMORY * engine.memory_use
 }
 
-/// Wait for a free slot. It begins before the last slot is taken, since the count is late.
+/// Wait for a free slot or for memory. It begins before the last is taken, since the count is late.
 fn slot_ms(engine: &EngineView) -> f64 {
     if engine.slots == 0 {
         return 0.0;
     }
-    let slots = f64::from(engine.slots);
-    let over = (f64::from(engine.streams) + 1.0 - NEARLY_FULL * slots).max(0.0);
-    over * GENERATION_MS / slots
+    let slot_use = (f64::from(engine.streams) + 1.0) / f64::from(engine.slots);
+    let over = slot_use.max(engine.memory_use) - NEARLY_FULL;
+    over.max(0.0) * GENERATION_MS
 }
 
 fn zone_ms(engine: &EngineView, kilobytes: f64) -> f64 {
