Gather changes of the store and keep knowledge within an availability zone

Cause: each of 94 registrations at the start woke a watch of each of 89 hosts (15,429 calls in 24 s); datagrams to all hosts crossed zones (65 MB in 24 s).

--- a/crates/yucca-io/src/connections.rs
+++ b/crates/yucca-io/src/connections.rs
@@ -22,8 +22,11 @@
 const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
 /// Time without data after which the other end is probed, and between two probes.
 const KEEPALIVE: Duration = Duration::from_secs(1);
-/// Unanswered probes after which a connection is broken.
+/// Unanswered probes after which a connection is broken. Links that lose some packets must not
+/// break a long answer.
 const KEEPALIVE_PROBES: u32 = 2;
+/// The same for connections whose calls are repeated at little cost.
+const QUICK_KEEPALIVE_PROBES: u32 = 1;
 /// A connection that just carried an answer's last byte is ready within this time.
 const READY_MS: u64 = 20;
 
@@ -43,12 +46,20 @@
     ///
     /// A text for people; no byte of a request was sent.
     pub async fn open(address: SocketAddr, limit_ms: u64) -> Result<Self, String> {
+        Self::open_probed(address, limit_ms, KEEPALIVE_PROBES).await
+    }
+
+    async fn open_probed(
+        address: SocketAddr,
+        limit_ms: u64,
+        probes: u32,
+    ) -> Result<Self, String> {
         let open = async {
             let stream = TcpStream::connect(address)
                 .await
                 .map_err(|e| e.to_string())?;
             stream.set_nodelay(true).map_err(|e| e.to_string())?;
-            detect_silence(&stream).map_err(|e| e.to_string())?;
+            detect_silence(&stream, probes).map_err(|e| e.to_string())?;
             let (sender, driver) = http1::handshake(TokioIo::new(stream))
                 .await
                 .map_err(|e| e.to_string())?;
@@ -121,14 +132,14 @@
 }
 
 /// Has the kernel break a connection whose other end vanished without closing it.
-fn detect_silence(stream: &TcpStream) -> std::io::Result<()> {
+fn detect_silence(stream: &TcpStream, probes: u32) -> std::io::Result<()> {
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
     socket.set_tcp_keepalive(
         &TcpKeepalive::new()
             .with_time(KEEPALIVE)
             .with_interval(KEEPALIVE)
-            .with_retries(KEEPALIVE_PROBES),
+            .with_retries(probes),
     )
 }
 
@@ -151,6 +162,7 @@
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
     connect_ms: u64,
     idle_limit: Duration,
+    probes: u32,
 }
 
 impl Pool {
@@ -161,9 +173,17 @@
             idle: Mutex::default(),
             connect_ms,
             idle_limit: Duration::from_millis(idle_ms),
+            probes: KEEPALIVE_PROBES,
         }
     }
 
+    /// Has silent connections found within two seconds, at the risk of breaking a sound one whose
+    /// packets are lost.
+    pub fn with_quick_probes(mut self) -> Self {
+        self.probes = QUICK_KEEPALIVE_PROBES;
+        self
+    }
+
     /// An idle connection to `address`, or a new one.
     ///
     /// # Errors
@@ -200,7 +220,7 @@
     ///
     /// As [`Connection::open`].
     pub async fn open(&self, address: SocketAddr) -> Result<Connection, String> {
-        Connection::open(address, self.connect_ms).await
+        Connection::open_probed(address, self.connect_ms, self.probes).await
     }
 
     /// Takes back a connection whose last answer was read to its end.
--- a/crates/yucca-serve/src/choose.rs
+++ b/crates/yucca-serve/src/choose.rs
@@ -18,6 +18,8 @@
 const TOLERATED_RATE: f64 = 0.05;
 /// Time to generate a token, for the pause that a stream may still make.
 const TOKEN_MS: f64 = 4.5;
+/// Work that an engine is taken to have when hosts of its own availability zone alone know its load.
+const UNSEEN_MS: f64 = 120.0;
 /// Average length of an event of a stream in kilobytes.
 const EVENT_KB: f64 = 0.1;
 
@@ -117,14 +119,21 @@
     if !need.may_read_apart {
         keys.retain(|key| directory.get(*key).entry.phase == Phase::Decode);
     }
+    let is_local = directory.is_local(need.zone);
     let views: Vec<EngineView> = keys
         .iter()
         .map(|key| {
             let back_end = directory.get(*key);
+            let is_remote = back_end.entry.zone != need.zone;
+            let unseen_ms = if is_local && is_remote {
+                UNSEEN_MS
+            } else {
+                0.0
+            };
             let excess_rate = (back_end.fitness.failure_rate() - TOLERATED_RATE).max(0.0);
             EngineView {
                 phase: back_end.entry.phase,
-                pending_ms: back_end.load.pending_ms(now_ms),
+                pending_ms: back_end.load.pending_ms(now_ms) + unseen_ms,
                 stall_ms: back_end.load.stall_ms(now_ms),
                 streams: back_end.load.all_streams(now_ms),
                 slots: need.slots,
@@ -132,7 +141,7 @@
                     / need.memory_tokens.max(1) as f64,
                 kept_tokens: kept_by(*key),
                 reachable_tokens: reachable,
-                is_remote: back_end.entry.zone != need.zone,
+                is_remote,
                 speed: 1.0,
                 fault_ms: excess_rate * FAULT_MS,
             }
--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -19,6 +19,8 @@
 pub const RELIST_MS: u64 = 1_800;
 /// Shortest absence of the store in which entries may have lapsed.
 const LAPSE_MS: u64 = 1_000;
+/// Back ends of an availability zone that serve its callers about as well as all together.
+const LOCAL_BACK_ENDS: usize = 14;
 /// Time for which a back end that was removed may still be used when no other is there. It is below
 /// the time for which leaving back ends go on serving.
 const LAST_RESORT_MS: u64 = 1_200;
@@ -149,6 +151,16 @@
         &mut self.back_ends[key.0]
     }
 
+    /// Whether hosts of an availability zone share their knowledge of engines within it only, as it
+    /// has enough of them. In a small fleet all hosts share it.
+    pub fn is_local(&self, zone: &str) -> bool {
+        let in_zone = self.by_id.values().filter(|key| {
+            let back_end = self.get(**key);
+            back_end.entry.zone == zone && back_end.standing == Standing::Serving
+        });
+        in_zone.count() >= LOCAL_BACK_ENDS
+    }
+
     /// Number of back ends that were ever listed.
     pub fn len(&self) -> usize {
         self.back_ends.len()
--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -10,9 +10,13 @@
 use crate::host::Host;
 use crate::ports::{Kind, Object, ObjectStore, Objects, StoreFault};
 
-/// Time for which a watch waits for changes. With the call's own limit it stays below the time
-/// after which a connection that went silent must have been replaced.
-const WATCH_MS: u64 = 2_000;
+/// Time for which a watch waits for changes. Probes of its connection find one that went silent.
+const WATCH_MS: u64 = 20_000;
+/// Pause between the changes of a watch and the next call, in which further changes gather. It adds
+/// to the time until a change is in force.
+const GATHER_MS: u64 = 600;
+/// The same for the list of hosts, which nothing urgent depends on.
+const GATHER_HOSTS_MS: u64 = 1_500;
 /// Pause after a failed call.
 const RETRY_MS: u64 = 150;
 /// Longest pause after failed calls in a row.
@@ -116,6 +120,13 @@
     );
 }
 
+fn gather_ms(kind: Kind) -> u64 {
+    match kind {
+        Kind::Config | Kind::BackEnds => GATHER_MS,
+        Kind::Hosts | Kind::Leases => GATHER_HOSTS_MS,
+    }
+}
+
 async fn follow<S: ObjectStore>(store: &S, kind: Kind, take: impl FnMut(&Objects, bool)) {
     follow_with(store, kind, take, |_| {}).await;
 }
@@ -144,6 +155,9 @@
                 note_contact(true);
                 take(&objects, since.is_none());
                 since = Some(since.unwrap_or(0).max(objects.revision));
+                if !objects.objects.is_empty() {
+                    sleep(Duration::from_millis(gather_ms(kind))).await;
+                }
             }
             Err(StoreFault::Expired) => {
                 log::write(Event::StoreHistoryLost, &format!("kind={kind:?}"));
--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -79,10 +79,17 @@
     pub for_ms: u32,
 }
 
+/// Another host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Peer {
+    address: SocketAddr,
+    zone: String,
+}
+
 /// The other hosts, and what they are to be told.
 #[derive(Debug, Default)]
 pub struct Peers {
-    addresses: RefCell<IndexMap<String, SocketAddr>>,
+    hosts: RefCell<IndexMap<String, Peer>>,
     outbox: RefCell<Vec<Reading>>,
     away: RefCell<Vec<Away>>,
 }
@@ -91,7 +98,7 @@
     /// Tells the other hosts of a prompt with the next datagram.
     pub fn tell(&self, reading: Reading) {
         let mut outbox = self.outbox.borrow_mut();
-        if !self.addresses.borrow().is_empty() && outbox.len() < MAX_READINGS {
+        if !self.hosts.borrow().is_empty() && outbox.len() < MAX_READINGS {
             outbox.push(reading);
         }
     }
@@ -107,7 +114,7 @@
 
     /// Number of other hosts.
     pub fn count(&self) -> usize {
-        self.addresses.borrow().len()
+        self.hosts.borrow().len()
     }
 }
 
@@ -173,15 +180,17 @@
     told.collect()
 }
 
-/// The hosts that are told; a new sample each time when there are too many.
+/// The hosts that are told: those of the availability zone where it has engines enough of its own,
+/// else all. A new sample is drawn each time when there are too many.
 fn told<B>(host: &Host<B>) -> Vec<SocketAddr> {
-    let addresses = host.peers.addresses.borrow();
+    let zone = &host.deployment.zone;
+    let is_local = host.directory.borrow().is_local(zone);
+    let hosts = host.peers.hosts.borrow();
+    let in_scope = hosts.values().filter(|peer| !is_local || peer.zone == *zone);
+    let addresses: Vec<SocketAddr> = in_scope.map(|peer| peer.address).collect();
     let start = host.draw() as usize % addresses.len().max(1);
-    let all = addresses.values().copied();
-    all.cycle()
-        .skip(start)
-        .take(addresses.len().min(MAX_TOLD))
-        .collect()
+    let from_start = addresses.iter().copied().cycle().skip(start);
+    from_start.take(addresses.len().min(MAX_TOLD)).collect()
 }
 
 fn receive<B>(host: &Host<B>, bytes: &[u8]) {
@@ -233,7 +242,7 @@
 /// Registers this host, so that the others find it.
 pub async fn register<B, S: ObjectStore>(host: Rc<Host<B>>, store: Rc<S>, address: SocketAddr) {
     let name = object_name(&host.deployment.name);
-    let value = json!({ "address": address.to_string() });
+    let value = json!({ "address": address.to_string(), "zone": host.deployment.zone });
     let mut expected = None;
     while !host.is_stopping() {
         match store.write(Kind::Hosts, &name, expected, &value).await {
@@ -262,24 +271,17 @@
     format!("{HOST_PREFIX}{host}")
 }
 
-/// Follows the list of hosts; `take_other` gets the objects that are none.
-pub async fn follow_hosts<B, S: ObjectStore>(
-    host: Rc<Host<B>>,
-    store: Rc<S>,
-    mut take_other: impl FnMut(&Object),
-) {
+/// Follows the list of hosts for as long as the process lives.
+pub async fn follow_hosts<B, S: ObjectStore>(host: Rc<Host<B>>, store: Rc<S>) {
     follow_with(
         &*store,
         Kind::Hosts,
         |objects, is_complete| {
             if is_complete {
-                host.peers.addresses.borrow_mut().clear();
+                host.peers.hosts.borrow_mut().clear();
             }
             for object in &objects.objects {
-                match object.name.strip_prefix(HOST_PREFIX) {
-                    Some(name) => take_host(&host, name, object),
-                    None => take_other(object),
-                }
+                take_host(&host, object);
             }
         },
         |_| {},
@@ -287,30 +289,36 @@
     .await;
 }
 
-fn take_host<B>(host: &Host<B>, name: &str, object: &Object) {
+fn take_host<B>(host: &Host<B>, object: &Object) {
+    let Some(name) = object.name.strip_prefix(HOST_PREFIX) else {
+        return;
+    };
     if name == host.deployment.name {
         return;
     }
-    let address = object.value.as_ref().and_then(decode_address);
-    let mut addresses = host.peers.addresses.borrow_mut();
-    match address.filter(|_| !object.is_removed) {
-        Some(address) => {
-            if addresses.insert(name.to_owned(), address) != Some(address) {
-                let fields = format!("peer={name} address={address}");
+    let peer = object.value.as_ref().and_then(decode_peer);
+    let mut hosts = host.peers.hosts.borrow_mut();
+    match peer.filter(|_| !object.is_removed) {
+        Some(peer) => {
+            let fields = format!("peer={name} address={} zone={}", peer.address, peer.zone);
+            if hosts.insert(name.to_owned(), peer.clone()) != Some(peer) {
                 log::write(Event::PeerJoined, &fields);
             }
         }
         None => {
-            if addresses.swap_remove(name).is_some() {
+            if hosts.swap_remove(name).is_some() {
                 log::write(Event::PeerLost, &format!("peer={name}"));
             }
         }
     }
-    let hosts = u32::try_from(addresses.len() + 1).unwrap_or(u32::MAX);
-    drop(addresses);
-    host.set_hosts(hosts);
+    let count = u32::try_from(hosts.len() + 1).unwrap_or(u32::MAX);
+    drop(hosts);
+    host.set_hosts(count);
 }
 
-fn decode_address(value: &Value) -> Option<SocketAddr> {
-    value.get("address")?.as_str()?.parse().ok()
+fn decode_peer(value: &Value) -> Option<Peer> {
+    Some(Peer {
+        address: value.get("address")?.as_str()?.parse().ok()?,
+        zone: value.get("zone")?.as_str()?.to_owned(),
+    })
 }
--- a/crates/yucca-serve/src/ports.rs
+++ b/crates/yucca-serve/src/ports.rs
@@ -18,8 +18,19 @@
     Config,
     /// The back ends, which register themselves.
     BackEnds,
-    /// The hosts of this system and the lease on engine roles.
+    /// The hosts of this system.
     Hosts,
+    /// Leases. They are apart from the hosts, as each renewal would wake all that watch those.
+    Leases,
+}
+
+/// How recent the answer to a read must be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Freshness {
+    /// As of now.
+    Latest,
+    /// It may be seconds old, which costs the store little.
+    MayLag,
 }
 
 /// An object of the store.
@@ -79,7 +90,12 @@
     ) -> Result<u64, StoreFault>;
 
     /// Reads one object.
-    async fn read(&self, kind: Kind, name: &str) -> Result<Option<Object>, StoreFault>;
+    async fn read(
+        &self,
+        kind: Kind,
+        name: &str,
+        freshness: Freshness,
+    ) -> Result<Option<Object>, StoreFault>;
 
     /// Removes an object.
     async fn remove(&self, kind: Kind, name: &str) -> Result<(), StoreFault>;
@@ -120,6 +136,8 @@
     pub urgency: u8,
     /// Event after which a stream goes on.
     pub resume_after: Option<u64>,
+    /// Whether the call may be sent again if its connection breaks.
+    pub is_repeatable: bool,
     /// KV cache of the whole prompt, to be fetched by the engine.
     pub prompt: Option<PromptHandle>,
     /// Engine that keeps leading parts of the prompt, from which the engine fetches them.
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -126,6 +126,7 @@
             left_ms: self.left_ms().max(1),
             urgency: self.route.urgency,
             resume_after: self.request.resume_after,
+            is_repeatable: self.route.kind.is_repeatable(),
             prompt: None,
             fetch_from: None,
         }
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -194,6 +194,7 @@
     let forecast_ms = pending_ms + choice.read_ms;
     let limit_ms = (forecast_ms * READ_FACTOR) as u64 + READ_SLACK_MS;
     let mut call = job.call();
+    call.is_repeatable = true;
     call.fetch_from = keeper_address(job, choice);
     let read = host.back_ends.read_prompt(&target, &job.request, call);
     let outcome = match timeout(Duration::from_millis(limit_ms), read).await {
