Begin watches anew when the contact to the store is lost or regained

Ruled out: the pause in which changes gather (0.6 s), as the hosts without an open watch got the change in time. Change: a cheap read that may lag asks each 0.9 s whether the store answers; watches end after 8 s, and begin anew when the contact is lost or regained.

--- a/crates/yucca-io/src/connections.rs
+++ b/crates/yucca-io/src/connections.rs
@@ -49,11 +49,7 @@
         Self::open_probed(address, limit_ms, KEEPALIVE_PROBES).await
     }
 
-    async fn open_probed(
-        address: SocketAddr,
-        limit_ms: u64,
-        probes: u32,
-    ) -> Result<Self, String> {
+    async fn open_probed(address: SocketAddr, limit_ms: u64, probes: u32) -> Result<Self, String> {
         let open = async {
             let stream = TcpStream::connect(address)
                 .await
--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -1,17 +1,22 @@
 //! Follows the store: the configuration and the back ends.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
+use tokio::sync::watch;
 use tokio::time::{Duration, sleep};
 use yucca_io::log;
 use yuccacove::event::Event;
 
 use crate::directory::Change;
 use crate::host::Host;
-use crate::ports::{Kind, Object, ObjectStore, Objects, StoreFault};
+use crate::ports::{Freshness, Kind, Object, ObjectStore, Objects, StoreFault};
 
-/// Time for which a watch waits for changes. Probes of its connection find one that went silent.
-const WATCH_MS: u64 = 20_000;
+/// Time for which a watch waits for changes. A shorter trouble of the store than [`CONTACT_MS`] can
+/// pass unnoticed and may lose a watch's answer, so that this bounds the time until it is made good.
+const WATCH_MS: u64 = 8_000;
+/// Interval in which the store is asked whether it answers.
+const CONTACT_MS: u64 = 900;
 /// Pause between the changes of a watch and the next call, in which further changes gather. It adds
 /// to the time until a change is in force.
 const GATHER_MS: u64 = 600;
@@ -22,9 +27,68 @@
 /// Longest pause after failed calls in a row.
 const MAX_RETRY_MS: u64 = 600;
 
+/// Whether the store answers this host. A watch that waits cannot tell: one that the store has
+/// forgotten looks like one without changes.
+#[derive(Debug)]
+pub struct StoreContact {
+    lost: Cell<bool>,
+    turns: watch::Sender<u64>,
+}
+
+impl Default for StoreContact {
+    fn default() -> Self {
+        Self {
+            lost: Cell::new(false),
+            turns: watch::Sender::new(0),
+        }
+    }
+}
+
+impl StoreContact {
+    /// Records the outcome of a short call. Watches begin anew when the contact is lost, and again
+    /// when it is regained.
+    pub fn note(&self, is_answered: bool) {
+        if self.lost.replace(!is_answered) != self.lost.get() {
+            self.turns.send_modify(|turns| *turns += 1);
+        }
+    }
+
+    /// Whether the last short call was not answered.
+    pub fn is_lost(&self) -> bool {
+        self.lost.get()
+    }
+}
+
+/// Asks the store for a small object, whose answer may lag, for as long as the process lives.
+/// `take` gets the object.
+pub async fn keep_contact<S: ObjectStore>(
+    contact: Rc<StoreContact>,
+    store: Rc<S>,
+    kind: Kind,
+    name: &str,
+    take: impl Fn(&Object),
+) {
+    loop {
+        sleep(Duration::from_millis(CONTACT_MS)).await;
+        match store.read(kind, name, Freshness::MayLag).await {
+            Ok(object) => {
+                contact.note(true);
+                if let Some(object) = object {
+                    take(&object);
+                }
+            }
+            Err(_) => contact.note(false),
+        }
+    }
+}
+
 /// Follows the configuration for as long as the process lives.
-pub async fn follow_config<B, S: ObjectStore>(host: Rc<Host<B>>, store: Rc<S>) {
-    follow(&*store, Kind::Config, |objects, _| {
+pub async fn follow_config<B, S: ObjectStore>(
+    host: Rc<Host<B>>,
+    store: Rc<S>,
+    contact: Rc<StoreContact>,
+) {
+    follow(&*store, &contact, Kind::Config, |objects, _| {
         let latest = objects.objects.iter().filter(|object| !object.is_removed);
         for object in latest {
             match store.config(object) {
@@ -37,7 +101,11 @@
 }
 
 /// Follows the back ends for as long as the process lives.
-pub async fn follow_back_ends<B, S: ObjectStore>(host: Rc<Host<B>>, store: Rc<S>) {
+pub async fn follow_back_ends<B, S: ObjectStore>(
+    host: Rc<Host<B>>,
+    store: Rc<S>,
+    contact: Rc<StoreContact>,
+) {
     let note_contact = |is_answered: bool| {
         let now_ms = host.now_ms();
         let mut directory = host.directory.borrow_mut();
@@ -49,6 +117,7 @@
     };
     follow_with(
         &*store,
+        &contact,
         Kind::BackEnds,
         |objects, is_complete| take_back_ends(&host, &*store, objects, is_complete),
         note_contact,
@@ -127,24 +196,36 @@
     }
 }
 
-async fn follow<S: ObjectStore>(store: &S, kind: Kind, take: impl FnMut(&Objects, bool)) {
-    follow_with(store, kind, take, |_| {}).await;
+async fn follow<S: ObjectStore>(
+    store: &S,
+    contact: &StoreContact,
+    kind: Kind,
+    take: impl FnMut(&Objects, bool),
+) {
+    follow_with(store, contact, kind, take, |_| {}).await;
 }
 
 /// Lists a kind, then takes its changes; lists again when the history is gone. `take` gets the
 /// objects and whether they are all of the kind, `note_contact` whether a call was answered.
 pub async fn follow_with<S: ObjectStore>(
     store: &S,
+    contact: &StoreContact,
     kind: Kind,
     mut take: impl FnMut(&Objects, bool),
     note_contact: impl Fn(bool),
 ) {
     let mut since = None;
     let mut failures = 0;
+    let mut turns = contact.turns.subscribe();
     loop {
+        turns.mark_unchanged();
         let result = match since {
             None => store.list(kind).await,
-            Some(revision) => store.watch(kind, revision, WATCH_MS).await,
+            Some(revision) => tokio::select! {
+                result = store.watch(kind, revision, WATCH_MS) => result,
+                // The sender lives as long as the contact.
+                _ = turns.changed() => continue,
+            },
         };
         match result {
             Ok(objects) => {
--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -18,7 +18,7 @@
 
 use crate::choose::hash_of;
 use crate::directory::BackEndKey;
-use crate::follow::follow_with;
+use crate::follow::{StoreContact, follow_with};
 use crate::host::Host;
 use crate::ports::{Kind, Object, ObjectStore, StoreFault};
 
@@ -186,7 +186,9 @@
     let zone = &host.deployment.zone;
     let is_local = host.directory.borrow().is_local(zone);
     let hosts = host.peers.hosts.borrow();
-    let in_scope = hosts.values().filter(|peer| !is_local || peer.zone == *zone);
+    let in_scope = hosts
+        .values()
+        .filter(|peer| !is_local || peer.zone == *zone);
     let addresses: Vec<SocketAddr> = in_scope.map(|peer| peer.address).collect();
     let start = host.draw() as usize % addresses.len().max(1);
     let from_start = addresses.iter().copied().cycle().skip(start);
@@ -272,9 +274,14 @@
 }
 
 /// Follows the list of hosts for as long as the process lives.
-pub async fn follow_hosts<B, S: ObjectStore>(host: Rc<Host<B>>, store: Rc<S>) {
+pub async fn follow_hosts<B, S: ObjectStore>(
+    host: Rc<Host<B>>,
+    store: Rc<S>,
+    contact: Rc<StoreContact>,
+) {
     follow_with(
         &*store,
+        &contact,
         Kind::Hosts,
         |objects, is_complete| {
             if is_complete {
--- a/crates/yucca-serve/src/roles.rs
+++ b/crates/yucca-serve/src/roles.rs
@@ -30,8 +30,6 @@
 pub const LEASE_NAME: &str = "lease.engine-roles";
 /// Interval in which the split is looked at.
 const PLAN_INTERVAL: Duration = Duration::from_millis(400);
-/// Interval in which hosts without the lease look at it.
-const POLL_INTERVAL: Duration = Duration::from_millis(2_500);
 /// Longest wait of the lease's loop.
 const MAX_WAIT_MS: u64 = 500;
 /// Pause after a call to the store that failed.
@@ -69,8 +67,9 @@
         }
     }
 
-    /// Takes the lease's object from a poll.
-    fn observe(&self, object: &Object) {
+    /// Takes the lease's object from a read that may lag: a write that follows from an old one meets
+    /// a newer revision and has no effect.
+    pub fn observe(&self, object: &Object) {
         if let Some(stored) = stored(object) {
             self.keeper.borrow_mut().observe(stored, boot_ms());
             self.changed.notify_one();
@@ -116,7 +115,10 @@
                     sleep(STORE_RETRY).await;
                 }
             }
-            Next::Read => match store.read(Kind::Leases, LEASE_NAME, Freshness::Latest).await {
+            Next::Read => match store
+                .read(Kind::Leases, LEASE_NAME, Freshness::Latest)
+                .await
+            {
                 Ok(object) => {
                     let absent = Stored {
                         version: 0,
@@ -139,21 +141,6 @@
     }
 }
 
-/// Looks at the lease of another holder. The read may lag: a write that follows from an old one
-/// meets a newer revision and has no effect.
-pub async fn poll_lease<S: ObjectStore>(lease: Rc<RoleLease>, store: Rc<S>) {
-    loop {
-        sleep(POLL_INTERVAL).await;
-        if lease.authority().is_some() {
-            continue;
-        }
-        let read = store.read(Kind::Leases, LEASE_NAME, Freshness::MayLag);
-        if let Ok(Some(object)) = read.await {
-            lease.observe(&object);
-        }
-    }
-}
-
 fn report_change(lease: &RoleLease, held: &mut bool) {
     let authority = lease.authority();
     if authority.is_some() == *held {
@@ -171,7 +158,10 @@
         return WriteResult::Lost;
     };
     let expected = Some(write.expected).filter(|revision| *revision > 0);
-    match store.write(Kind::Leases, LEASE_NAME, expected, &value).await {
+    match store
+        .write(Kind::Leases, LEASE_NAME, expected, &value)
+        .await
+    {
         Ok(revision) => WriteResult::Written(revision),
         Err(StoreFault::Conflict(Some(object))) => match stored(&object) {
             Some(stored) => WriteResult::Conflict(stored),
--- a/src/phase_split.rs
+++ b/src/phase_split.rs
@@ -55,7 +55,9 @@
             self.first_ms = Some(now_ms);
             self.window_start_ms = now_ms;
         }
-        self.is_mature |= self.first_ms.is_some_and(|first_ms| now_ms >= first_ms + MATURE_MS);
+        self.is_mature |= self
+            .first_ms
+            .is_some_and(|first_ms| now_ms >= first_ms + MATURE_MS);
         let elapsed_ms = now_ms.saturating_sub(self.window_start_ms);
         if elapsed_ms < READING_WINDOW_MS {
             self.streams_peak = self.streams_peak.max(f64::from(streams));
