--- /dev/null
+++ b/crates/yucca-serve/tests/common/mod.rs
@@ -0,0 +1,558 @@
+//! Fakes of the edges of a process, for tests in virtual time.
+
+#![allow(
+    dead_code,
+    reason = "each test file is a program of its own and uses a part of this"
+)]
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::future::{Future, pending};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::response::Parts;
+use http::{Method, Response};
+use serde_json::Value;
+use tokio::sync::Notify;
+use tokio::task::LocalSet;
+use tokio::time::{Duration, sleep};
+use yucca_serve::config::{EngineSpec, Route, RouteKind, Service, ServingConfig, WeightedService};
+use yucca_serve::directory::BackEndEntry;
+use yucca_serve::host::{Deployment, Host};
+use yucca_serve::ports::{
+    Answer, AnswerBody, BackEnds, Call, CallFault, EngineReport, Freshness, Kind, Object,
+    ObjectStore, Objects, OrderReply, PhaseOrder, PromptHandle, StoreFault, Target,
+};
+use yucca_serve::request::{Prompt, PromptPart, Request};
+use yuccacove::prompt_placement::Phase;
+
+/// Runs a test on one thread, with a clock that jumps to the next timer when nothing else is to do.
+pub fn run_virtual<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, test)
+}
+
+/// Waits in virtual time.
+pub async fn wait_ms(ms: u64) {
+    sleep(Duration::from_millis(ms)).await;
+}
+
+/// How the fake store treats calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreMode {
+    /// Answers.
+    Up,
+    /// Takes calls and never answers them, nor the watches that were waiting.
+    Silent,
+    /// Refuses calls; watches that were waiting stay without an answer.
+    Refusing,
+}
+
+/// A store in memory.
+#[derive(Debug)]
+pub struct FakeStore {
+    mode: Cell<StoreMode>,
+    /// Rises when waiting watches are forgotten.
+    era: Cell<u64>,
+    objects: RefCell<Vec<(Kind, Object)>>,
+    oldest: Cell<u64>,
+    changed: Notify,
+    /// Number of calls.
+    pub calls: Cell<u64>,
+}
+
+impl FakeStore {
+    pub fn new() -> Rc<Self> {
+        Rc::new(Self {
+            mode: Cell::new(StoreMode::Up),
+            era: Cell::new(0),
+            objects: RefCell::default(),
+            oldest: Cell::new(0),
+            changed: Notify::new(),
+            calls: Cell::new(0),
+        })
+    }
+
+    pub fn set_mode(&self, mode: StoreMode) {
+        self.mode.set(mode);
+        self.era.set(self.era.get() + 1);
+    }
+
+    /// Forgets all changes so far.
+    pub fn drop_history(&self) {
+        self.oldest.set(self.revision());
+        self.era.set(self.era.get() + 1);
+    }
+
+    pub fn revision(&self) -> u64 {
+        self.objects
+            .borrow()
+            .iter()
+            .map(|(_, o)| o.revision)
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Writes an object as another writer does.
+    pub fn put(&self, kind: Kind, name: &str, value: Option<Value>) -> u64 {
+        let revision = self.revision() + 1;
+        let is_removed = value.is_none();
+        let mut objects = self.objects.borrow_mut();
+        objects.retain(|(k, o)| *k != kind || o.name != name);
+        objects.push((
+            kind,
+            Object {
+                name: name.to_owned(),
+                revision,
+                value,
+                is_removed,
+            },
+        ));
+        drop(objects);
+        self.changed.notify_waiters();
+        revision
+    }
+
+    fn of_kind(&self, kind: Kind, after: u64) -> Vec<Object> {
+        let objects = self.objects.borrow();
+        let mut found: Vec<Object> = objects
+            .iter()
+            .filter(|(k, o)| *k == kind && o.revision > after)
+            .map(|(_, o)| o.clone())
+            .collect();
+        found.sort_by_key(|o| o.revision);
+        found
+    }
+
+    async fn admit(&self) -> Result<(), StoreFault> {
+        self.calls.set(self.calls.get() + 1);
+        match self.mode.get() {
+            StoreMode::Up => Ok(()),
+            StoreMode::Refusing => Err(StoreFault::Refused(503)),
+            StoreMode::Silent => {
+                wait_ms(1_000).await;
+                Err(StoreFault::NoAnswer("silent".to_owned()))
+            }
+        }
+    }
+}
+
+impl ObjectStore for FakeStore {
+    async fn list(&self, kind: Kind) -> Result<Objects, StoreFault> {
+        self.admit().await?;
+        let mut objects = self.of_kind(kind, 0);
+        objects.retain(|o| !o.is_removed);
+        Ok(Objects {
+            objects,
+            revision: self.revision(),
+        })
+    }
+
+    async fn watch(&self, kind: Kind, since: u64, wait_ms: u64) -> Result<Objects, StoreFault> {
+        self.admit().await?;
+        if since < self.oldest.get() {
+            return Err(StoreFault::Expired);
+        }
+        let era = self.era.get();
+        let limit = sleep(Duration::from_millis(wait_ms));
+        tokio::pin!(limit);
+        loop {
+            let changed = self.changed.notified();
+            let objects = self.of_kind(kind, since);
+            let is_known = era == self.era.get();
+            if is_known && !objects.is_empty() {
+                let revision = self.revision();
+                return Ok(Objects { objects, revision });
+            }
+            tokio::select! {
+                () = changed => {}
+                () = &mut limit => {
+                    if era != self.era.get() {
+                        // The connection stays open, and nothing comes on it.
+                        sleep(Duration::from_millis(400)).await;
+                        return Err(StoreFault::NoAnswer("silent".to_owned()));
+                    }
+                    return Ok(Objects { objects: Vec::new(), revision: since });
+                }
+            }
+        }
+    }
+
+    async fn write(
+        &self,
+        kind: Kind,
+        name: &str,
+        expected: Option<u64>,
+        value: &Value,
+    ) -> Result<u64, StoreFault> {
+        self.admit().await?;
+        let known = self.of_kind(kind, 0).into_iter().find(|o| o.name == name);
+        let known = known.filter(|o| !o.is_removed);
+        if known.as_ref().map(|o| o.revision) != expected {
+            return Err(StoreFault::Conflict(known));
+        }
+        Ok(self.put(kind, name, Some(value.clone())))
+    }
+
+    async fn read(
+        &self,
+        kind: Kind,
+        name: &str,
+        _: Freshness,
+    ) -> Result<Option<Object>, StoreFault> {
+        self.admit().await?;
+        let found = self.of_kind(kind, 0).into_iter().find(|o| o.name == name);
+        Ok(found.filter(|o| !o.is_removed))
+    }
+
+    async fn remove(&self, kind: Kind, name: &str) -> Result<(), StoreFault> {
+        self.admit().await?;
+        self.put(kind, name, None);
+        Ok(())
+    }
+
+    fn back_end(&self, object: &Object) -> Option<BackEndEntry> {
+        let value = object.value.as_ref()?;
+        Some(BackEndEntry {
+            service: value["service"].as_str()?.to_owned(),
+            address: value["address"].as_str()?.parse().ok()?,
+            zone: "a".to_owned(),
+            is_draining: value["draining"] == true,
+            phase: Phase::Decode,
+            started_ms: value["started"].as_u64().unwrap_or(0),
+        })
+    }
+
+    fn config(&self, object: &Object) -> Option<ServingConfig> {
+        Some(ServingConfig {
+            version: object.value.as_ref()?["version"].as_u64()?,
+            ..ServingConfig::default()
+        })
+    }
+}
+
+/// What a fake back end does with one call.
+#[derive(Debug, Clone)]
+pub enum Step {
+    /// Answers with a status and chunks.
+    Answer(u16, Vec<Chunk>),
+    /// Fails the call.
+    Fault(CallFault),
+    /// Never answers.
+    Hang,
+}
+
+/// A part of an answer's body.
+#[derive(Debug, Clone)]
+pub enum Chunk {
+    /// Bytes after a pause.
+    Bytes(u64, &'static str),
+    /// The connection breaks after a pause.
+    Broken(u64),
+}
+
+/// A call as the fake back ends saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seen {
+    /// Back end.
+    pub id: String,
+    /// Whether the prompt was only to be read.
+    pub is_read: bool,
+    /// Event after which the stream was to go on.
+    pub resume_after: Option<u64>,
+    /// Whether the prompt's KV cache came with the call.
+    pub has_prompt: bool,
+    /// Time that was left.
+    pub left_ms: u64,
+}
+
+/// Back ends that follow a script.
+#[derive(Debug, Default)]
+pub struct FakeBackEnds {
+    runs: RefCell<HashMap<String, VecDeque<Step>>>,
+    reads: RefCell<VecDeque<Result<(), CallFault>>>,
+    /// Calls in order.
+    pub seen: RefCell<Vec<Seen>>,
+    /// Bodies that were dropped before their end.
+    pub cut: Rc<Cell<u32>>,
+    /// Orders in order.
+    pub orders: RefCell<Vec<(String, PhaseOrder)>>,
+    /// Prompts that were freed.
+    pub freed: Cell<u32>,
+}
+
+impl FakeBackEnds {
+    /// Sets what a back end does with its next calls; without a script it answers "ok".
+    pub fn script(&self, id: &str, steps: impl IntoIterator<Item = Step>) {
+        let mut runs = self.runs.borrow_mut();
+        runs.entry(id.to_owned()).or_default().extend(steps);
+    }
+
+    /// Sets how the next reads end; without it they succeed.
+    pub fn script_reads(&self, outcomes: impl IntoIterator<Item = Result<(), CallFault>>) {
+        self.reads.borrow_mut().extend(outcomes);
+    }
+
+    pub fn runs(&self) -> Vec<Seen> {
+        let seen = self.seen.borrow();
+        seen.iter().filter(|s| !s.is_read).cloned().collect()
+    }
+
+    fn note(&self, to: &Target, call: &Call, is_read: bool) {
+        self.seen.borrow_mut().push(Seen {
+            id: to.id.to_string(),
+            is_read,
+            resume_after: call.resume_after,
+            has_prompt: call.prompt.is_some(),
+            left_ms: call.left_ms,
+        });
+    }
+}
+
+/// Body of a fake answer.
+#[derive(Debug)]
+pub struct FakeBody {
+    chunks: VecDeque<Chunk>,
+    cut: Rc<Cell<u32>>,
+    is_ended: bool,
+}
+
+impl AnswerBody for FakeBody {
+    async fn chunk(&mut self) -> Option<Result<Bytes, String>> {
+        match self.chunks.pop_front() {
+            Some(Chunk::Bytes(pause_ms, text)) => {
+                wait_ms(pause_ms).await;
+                Some(Ok(Bytes::from_static(text.as_bytes())))
+            }
+            Some(Chunk::Broken(pause_ms)) => {
+                wait_ms(pause_ms).await;
+                self.is_ended = true;
+                Some(Err("reset".to_owned()))
+            }
+            None => {
+                self.is_ended = true;
+                None
+            }
+        }
+    }
+}
+
+impl Drop for FakeBody {
+    fn drop(&mut self) {
+        if !self.is_ended {
+            self.cut.set(self.cut.get() + 1);
+        }
+    }
+}
+
+impl BackEnds for FakeBackEnds {
+    type Body = FakeBody;
+
+    async fn run(
+        &self,
+        to: &Target,
+        _: &Request,
+        call: Call,
+    ) -> Result<Answer<FakeBody>, CallFault> {
+        self.note(to, &call, false);
+        let step = self
+            .runs
+            .borrow_mut()
+            .get_mut(&*to.id)
+            .and_then(VecDeque::pop_front);
+        wait_ms(1).await;
+        match step.unwrap_or(Step::Answer(200, vec![Chunk::Bytes(0, "ok")])) {
+            Step::Answer(status, chunks) => Ok(Answer {
+                head: head(status),
+                body: FakeBody {
+                    chunks: chunks.into(),
+                    cut: Rc::clone(&self.cut),
+                    is_ended: false,
+                },
+            }),
+            Step::Fault(fault) => Err(fault),
+            Step::Hang => pending().await,
+        }
+    }
+
+    async fn read_prompt(
+        &self,
+        to: &Target,
+        request: &Request,
+        call: Call,
+    ) -> Result<PromptHandle, CallFault> {
+        self.note(to, &call, true);
+        wait_ms(1).await;
+        let outcome = self.reads.borrow_mut().pop_front();
+        outcome.unwrap_or(Ok(()))?;
+        Ok(PromptHandle {
+            holder: to.clone(),
+            handle: "kept".to_owned(),
+            tokens: request.prompt.as_ref().map_or(0, |p| p.tokens),
+        })
+    }
+
+    async fn free_prompt(&self, _: &PromptHandle) -> Result<(), CallFault> {
+        self.freed.set(self.freed.get() + 1);
+        Ok(())
+    }
+
+    async fn report(&self, to: &Target) -> Result<EngineReport, CallFault> {
+        let orders = self.orders.borrow();
+        let own: Vec<_> = orders.iter().filter(|(id, _)| *id == *to.id).collect();
+        Ok(EngineReport {
+            is_prefill: own.last().is_some_and(|(_, order)| order.to_prefill),
+            is_changing: false,
+            orders: own.len() as u64,
+        })
+    }
+
+    async fn order(&self, to: &Target, order: &PhaseOrder) -> Result<OrderReply, CallFault> {
+        self.orders
+            .borrow_mut()
+            .push((to.id.to_string(), order.clone()));
+        Ok(OrderReply::Accepted)
+    }
+
+    fn retire(&self, _: &Target) {}
+}
+
+fn head(status: u16) -> Parts {
+    let mut response = Response::new(());
+    *response.status_mut() = status.try_into().expect("a status");
+    response.into_parts().0
+}
+
+/// A deployment with bounds like those of the users.
+pub fn deployment() -> Deployment {
+    Deployment {
+        name: "entry-1".to_owned(),
+        zone: "a".to_owned(),
+        retry_ratio: 0.2,
+        retry_slack: 54.0,
+        drain_ms: 2_000,
+        grace_ms: 8_000,
+        lease_ms: 3_000,
+    }
+}
+
+/// A host without back ends.
+pub fn host() -> Rc<Host<FakeBackEnds>> {
+    Rc::new(Host::new(deployment(), FakeBackEnds::default()))
+}
+
+/// An entry of a back end whose address ends with `number`.
+pub fn entry(service: &str, number: u8, phase: Phase) -> BackEndEntry {
+    BackEndEntry {
+        service: service.to_owned(),
+        address: SocketAddr::from(([10, 0, 0, number], 80)),
+        zone: "a".to_owned(),
+        is_draining: false,
+        phase,
+        started_ms: 1,
+    }
+}
+
+/// A route of the service "desk" or "model", by its kind.
+pub fn route(kind: RouteKind, max_attempts: u32) -> Route {
+    let service = match kind {
+        RouteKind::Stream { .. } => "model",
+        RouteKind::Idempotent | RouteKind::AtMostOnce => "desk",
+    };
+    Route {
+        name: "r".to_owned(),
+        host: "shop.example".to_owned(),
+        path_prefix: "/".to_owned(),
+        kind,
+        timeout_ms: 4_000,
+        target_ms: 300,
+        target_gap_ms: 150,
+        urgency: 0,
+        services: vec![WeightedService {
+            service: service.to_owned(),
+            weight: 1,
+        }],
+        max_attempts,
+    }
+}
+
+/// A host with the given route, two plain back ends and three engines.
+pub fn serving_host(route: Route) -> Rc<Host<FakeBackEnds>> {
+    let host = host();
+    let engine = EngineSpec {
+        slots: 64,
+        tokens_per_event: 9,
+        kv_tokens: 400_000,
+        token_kv_bytes: 160_000,
+        handle_ttl_ms: 5_000,
+        switch_ms: 3_000,
+    };
+    let mut config = ServingConfig {
+        version: 1,
+        routes: vec![route],
+        ..ServingConfig::default()
+    };
+    config
+        .services
+        .insert("desk".to_owned(), Service::default());
+    let model = Service {
+        max_connections: 100,
+        engine: Some(engine),
+    };
+    config.services.insert("model".to_owned(), model);
+    host.set_config(config);
+    let mut directory = host.directory.borrow_mut();
+    let entries = [
+        ("desk-1", entry("desk", 1, Phase::Decode)),
+        ("desk-2", entry("desk", 2, Phase::Decode)),
+        ("read-1", entry("model", 3, Phase::Prefill)),
+        ("gen-1", entry("model", 4, Phase::Decode)),
+        ("gen-2", entry("model", 5, Phase::Decode)),
+    ];
+    for (id, entry) in entries {
+        directory.listed(id, 1, entry, 0);
+    }
+    directory.completed(&["desk-1", "desk-2", "read-1", "gen-1", "gen-2"], 1, 0);
+    drop(directory);
+    host
+}
+
+/// A request with a deadline of 4 s.
+pub fn request() -> Request {
+    Request {
+        id: "a1".to_owned(),
+        method: Method::POST,
+        host: "shop.example".to_owned(),
+        path_and_query: "/x".to_owned(),
+        deadline_ms: Some(4_000),
+        ..Request::default()
+    }
+}
+
+/// A generation whose prompt is long enough to be read apart.
+pub fn generation() -> Request {
+    Request {
+        prompt: Some(Prompt {
+            model: "m".to_owned(),
+            tokens: 8_000,
+            max_output_tokens: 100,
+            parts: vec![
+                PromptPart {
+                    id: 1,
+                    tokens: 5_000,
+                },
+                PromptPart {
+                    id: 2,
+                    tokens: 3_000,
+                },
+            ],
+        }),
+        ..request()
+    }
+}
--- /dev/null
+++ b/crates/yucca-serve/tests/follow.rs
@@ -0,0 +1,166 @@
+//! Guards against a host that misses a change of the store: one that was made while the store was in
+//! trouble, or whose history was dropped.
+
+mod common;
+
+use std::rc::Rc;
+
+use common::{FakeStore, StoreMode, host, run_virtual, wait_ms};
+use serde_json::json;
+use tokio::task::spawn_local;
+use yucca_serve::follow::{StoreContact, follow_back_ends, follow_config, keep_contact};
+use yucca_serve::host::Host;
+use yucca_serve::ports::Kind;
+
+/// Time after the end of the store's trouble within which a host is up to date.
+const CONTACT_MS: u64 = 3_000;
+/// Time within which an acknowledged change is in force while the store is well.
+const CONFIG_MS: u64 = 2_000;
+
+fn follow(store: &Rc<FakeStore>) -> Rc<Host<common::FakeBackEnds>> {
+    let host = host();
+    let contact = Rc::new(StoreContact::default());
+    spawn_local(follow_config(
+        Rc::clone(&host),
+        Rc::clone(store),
+        Rc::clone(&contact),
+    ));
+    spawn_local(follow_back_ends(
+        Rc::clone(&host),
+        Rc::clone(store),
+        Rc::clone(&contact),
+    ));
+    spawn_local(keep_contact(
+        contact,
+        Rc::clone(store),
+        Kind::Leases,
+        "none",
+        |_| {},
+    ));
+    host
+}
+
+fn put_config(store: &FakeStore, version: u64) {
+    store.put(Kind::Config, "main", Some(json!({ "version": version })));
+}
+
+fn version(host: &Host<common::FakeBackEnds>) -> Option<u64> {
+    host.config().map(|config| config.version)
+}
+
+fn put_back_end(store: &FakeStore, name: &str, is_draining: bool) {
+    let value = json!({
+        "service": "desk",
+        "address": "10.0.0.9:80",
+        "draining": is_draining,
+    });
+    store.put(Kind::BackEnds, name, Some(value));
+}
+
+fn usable(host: &Host<common::FakeBackEnds>) -> usize {
+    let directory = host.directory.borrow();
+    directory.usable("desk", host.now_ms()).len()
+}
+
+#[test]
+fn follow_config_change_in_calm() {
+    run_virtual(async {
+        let store = FakeStore::new();
+        put_config(&store, 4);
+        let host = follow(&store);
+        wait_ms(100).await;
+        assert_eq!(version(&host), Some(4));
+        for next in [7, 9] {
+            put_config(&store, next);
+            wait_ms(CONFIG_MS).await;
+            assert_eq!(version(&host), Some(next));
+        }
+    });
+}
+
+/// Found as a broken rule: the watch that waited when the store fell silent was forgotten by the
+/// store, and the host learnt of the change 20 s later.
+#[test]
+fn follow_config_change_while_silent() {
+    for mode in [StoreMode::Silent, StoreMode::Refusing] {
+        for outage_ms in [1_000, 2_500, 8_000] {
+            run_virtual(async {
+                let store = FakeStore::new();
+                put_config(&store, 4);
+                let host = follow(&store);
+                wait_ms(5_000).await;
+                store.set_mode(mode);
+                wait_ms(outage_ms).await;
+                put_config(&store, 10);
+                store.set_mode(StoreMode::Up);
+                wait_ms(CONTACT_MS).await;
+                assert_eq!(version(&host), Some(10), "{mode:?} for {outage_ms} ms");
+            });
+        }
+    }
+}
+
+#[test]
+fn follow_config_older_version() {
+    run_virtual(async {
+        let store = FakeStore::new();
+        put_config(&store, 8);
+        let host = follow(&store);
+        wait_ms(100).await;
+        // A writer's late call must not take the host back.
+        put_config(&store, 5);
+        wait_ms(CONFIG_MS).await;
+        assert_eq!(version(&host), Some(8));
+    });
+}
+
+#[test]
+fn follow_back_ends_dropped_history() {
+    run_virtual(async {
+        let store = FakeStore::new();
+        put_back_end(&store, "i-1", false);
+        put_back_end(&store, "i-2", false);
+        let host = follow(&store);
+        wait_ms(100).await;
+        assert_eq!(usable(&host), 2);
+        // The store drops its history together with the watches that wait.
+        store.drop_history();
+        put_back_end(&store, "i-1", true);
+        store.drop_history();
+        store.set_mode(StoreMode::Refusing);
+        wait_ms(1_000).await;
+        store.set_mode(StoreMode::Up);
+        wait_ms(CONTACT_MS).await;
+        assert_eq!(usable(&host), 1);
+    });
+}
+
+#[test]
+fn follow_back_ends_unreadable_entry() {
+    run_virtual(async {
+        let store = FakeStore::new();
+        put_back_end(&store, "i-1", false);
+        store.put(Kind::BackEnds, "i-2", Some(json!("no entry")));
+        let host = follow(&store);
+        wait_ms(100).await;
+        assert_eq!(usable(&host), 1);
+        assert!(host.directory.borrow().find("i-1").is_some());
+        assert!(host.directory.borrow().find("i-2").is_none());
+    });
+}
+
+/// Each call is priced: a host at rest must stay within a call a second and a half.
+#[test]
+fn follow_calls_at_rest() {
+    run_virtual(async {
+        let store = FakeStore::new();
+        put_config(&store, 4);
+        put_back_end(&store, "i-1", false);
+        let _host = follow(&store);
+        wait_ms(5_000).await;
+        let before = store.calls.get();
+        wait_ms(60_000).await;
+        let calls = store.calls.get() - before;
+        assert!(calls <= 90, "{calls} calls in 60 s");
+    });
+}
--- /dev/null
+++ b/crates/yucca-serve/tests/roles.rs
@@ -0,0 +1,132 @@
+//! Guards the orders to engines: one holder at a time, rising fencing numbers, and no order twice.
+
+mod common;
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use common::{FakeBackEnds, FakeStore, StoreMode, deployment, entry, run_virtual, wait_ms};
+use tokio::task::spawn_local;
+use yucca_serve::config::{EngineSpec, Service, ServingConfig};
+use yucca_serve::follow::{StoreContact, keep_contact};
+use yucca_serve::host::{Deployment, Host};
+use yucca_serve::ports::Kind;
+use yucca_serve::roles::{LEASE_NAME, RoleLease, keep_lease, plan_roles};
+use yuccacove::prompt_placement::Phase;
+
+const ENGINES: u8 = 10;
+
+fn config() -> ServingConfig {
+    let mut config = ServingConfig {
+        version: 1,
+        ..ServingConfig::default()
+    };
+    let engine = Some(EngineSpec {
+        slots: 64,
+        switch_ms: 3_000,
+        ..EngineSpec::default()
+    });
+    let service = Service {
+        max_connections: 100,
+        engine,
+    };
+    config.services.insert("model".to_owned(), service);
+    config
+}
+
+struct Running {
+    host: Rc<Host<FakeBackEnds>>,
+    lease: Rc<RoleLease>,
+}
+
+fn spawn_host(name: &str, store: &Rc<FakeStore>) -> Running {
+    let own = Deployment {
+        name: name.to_owned(),
+        ..deployment()
+    };
+    let host = Rc::new(Host::new(own, FakeBackEnds::default()));
+    host.set_config(config());
+    let mut directory = host.directory.borrow_mut();
+    let ids: Vec<String> = (0..ENGINES).map(|n| format!("i-{n}")).collect();
+    for (number, id) in (0..).zip(&ids) {
+        directory.listed(id, 1, entry("model", number, Phase::Decode), 0);
+    }
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    directory.completed(&ids, 1, 0);
+    drop(directory);
+    let lease = Rc::new(RoleLease::new(name));
+    spawn_local(keep_lease(Rc::clone(&lease), Rc::clone(store)));
+    spawn_local(plan_roles(Rc::clone(&host), Rc::clone(&lease)));
+    let observer = Rc::clone(&lease);
+    spawn_local(keep_contact(
+        Rc::new(StoreContact::default()),
+        Rc::clone(store),
+        Kind::Leases,
+        LEASE_NAME,
+        move |object| observer.observe(object),
+    ));
+    Running { host, lease }
+}
+
+fn fences(running: &Running) -> Vec<u64> {
+    let orders = running.host.back_ends.orders.borrow();
+    orders.iter().map(|(_, order)| order.fence).collect()
+}
+
+/// The lease reads the kernel's boot time, which does not follow the test's clock, so that these
+/// tests look only at what the writes to the store decide.
+#[test]
+fn plan_roles_one_holder() {
+    run_virtual(async {
+        let store = FakeStore::new();
+        let hosts: Vec<Running> = (1..=4)
+            .map(|n| spawn_host(&format!("entry-{n}"), &store))
+            .collect();
+        wait_ms(20_000).await;
+        let holders: Vec<&Running> = hosts
+            .iter()
+            .filter(|h| h.lease.authority().is_some())
+            .collect();
+        assert_eq!(holders.len(), 1);
+        for running in &hosts {
+            let has_lease = running.lease.authority().is_some();
+            assert_eq!(!fences(running).is_empty(), has_lease);
+        }
+        // Six of ten decode engines change while no request was seen, each once.
+        let orders = holders[0].host.back_ends.orders.borrow();
+        assert_eq!(orders.len(), 6);
+        let seen = RefCell::new(Vec::new());
+        for (id, order) in orders.iter() {
+            assert!(order.to_prefill);
+            assert_eq!(order.fence, 1);
+            assert!(!seen.borrow().contains(id), "{id} was ordered twice");
+            seen.borrow_mut().push(id.clone());
+        }
+    });
+}
+
+#[test]
+fn plan_roles_without_store() {
+    run_virtual(async {
+        let store = FakeStore::new();
+        store.set_mode(StoreMode::Refusing);
+        let running = spawn_host("entry-1", &store);
+        wait_ms(20_000).await;
+        assert!(running.lease.authority().is_none());
+        assert!(fences(&running).is_empty());
+    });
+}
+
+/// A holder that stops gives the lease back and orders no more.
+#[test]
+fn plan_roles_after_stop() {
+    run_virtual(async {
+        let store = FakeStore::new();
+        let running = spawn_host("entry-1", &store);
+        wait_ms(200).await;
+        running.lease.stop();
+        wait_ms(20_000).await;
+        assert!(running.lease.authority().is_none());
+        assert!(fences(&running).is_empty());
+    });
+}
