--- a/crates/yucca-serve/tests/serve.rs
+++ b/crates/yucca-serve/tests/serve.rs
@@ -405,7 +405,7 @@
     for step in [broken(), Step::Fault(CallFault::Crossed)] {
         run_virtual(async {
             let host = serving_host(route(STREAM, 2));
-            script_all(&host, &[step.clone()]);
+            script_all(&host, std::slice::from_ref(&step));
             let reply = serve(&host, generation()).await;
             assert_eq!(reply.head.status, StatusCode::GATEWAY_TIMEOUT);
             assert_eq!(host.back_ends.runs().len(), 1);
--- a/tests/send_limit.rs
+++ b/tests/send_limit.rs
@@ -10,6 +10,9 @@
     ReadRefused,
 }
 
+/// Attempts of the route, steps so far, cost of a run, cost of a read.
+type Case = (u32, &'static [Step], Option<Cost>, Option<Cost>);
+
 fn after(max_attempts: u32, steps: &[Step]) -> SendLimit {
     let mut limit = SendLimit::new(max_attempts);
     for step in steps {
@@ -26,8 +29,7 @@
 fn send_limit_cases() {
     use Cost::{Free, Retry};
     use Step::{ReadAccepted, ReadRefused, Run};
-    // Attempts of the route, steps so far, cost of a run, cost of a read.
-    let cases: [(u32, &[Step], Option<Cost>, Option<Cost>); 9] = [
+    let cases: [Case; 9] = [
         (1, &[], Some(Free), Some(Free)),
         (1, &[ReadAccepted], Some(Free), None),
         (1, &[ReadRefused], None, None),
