--- a/crates/yucca-entry/src/chat_fault.rs
+++ b/crates/yucca-entry/src/chat_fault.rs
@@ -7,6 +7,7 @@
 use crate::backend_fault::Fault;
 use crate::chat_run::Run;
 use crate::fleet::ChosenEngine;
+use crate::peers;
 use crate::probe;
 use crate::problem::Problem;
 use crate::suspicion::SuspectRun;
@@ -59,6 +60,7 @@
         }
         if matches!(fault, Fault::Silent | Fault::Broken(_)) && probed != Probed::Answers {
             run.engine_lost();
+            peers::tell_suspects(self.host).await;
         }
         match (fault, probed) {
             (Fault::WrongVersion, _) | (_, Probed::Unreachable) => {
--- a/crates/yucca-entry/src/peers.rs
+++ b/crates/yucca-entry/src/peers.rs
@@ -7,7 +7,8 @@
 
 use bytes::Bytes;
 use indexmap::IndexMap;
-use tokio::time::{Instant, sleep_until};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until, timeout};
 use yucca_io::clock::boot_ms;
 use yucca_io::log;
 use yucca_io::settings::Settings;
@@ -22,6 +23,10 @@
 use crate::quota_owner;
 use crate::wire::{self, Answering, ClaimQuery, Copies, Digest, Opening, QuotaGrant, QuotaRequest};
 
+/// Peers that are told of a suspect at once; the others learn of it with the regular exchanges.
+const MAX_TOLD_AT_ONCE: usize = 16;
+/// Time limit of telling them.
+const TELL_LIMIT: Duration = Duration::from_millis(300);
 /// Key that no object has; reading it shows whether the object API answers.
 const PROBE_KEY: &str = "owner/.probe";
 
@@ -197,6 +202,27 @@
     }
 }
 
+/// Tells live peers of the suspects at once and waits until they know, within a time limit. A caller
+/// whose request lost an engine sends it again at once, maybe through one of them, before the next
+/// regular exchange.
+pub async fn tell_suspects(host: &Arc<Host>) {
+    let live = host.peers.live();
+    let others = live.into_iter().filter(|name| *name != host.name);
+    let mut told: JoinSet<()> = others
+        .take(MAX_TOLD_AT_ONCE)
+        .map(|peer| {
+            let host = Arc::clone(host);
+            async move { exchange(&host, &peer).await }
+        })
+        .collect();
+    let all = async { while told.join_next().await.is_some() {} };
+    if timeout(TELL_LIMIT, all).await.is_err() {
+        log::write(Event::PeerLost, "suspects_not_told=true");
+    }
+    // Exchanges that are under way go on.
+    told.detach_all();
+}
+
 fn digest(host: &Host) -> Digest {
     let members = host.peers.lock();
     Digest {
