Choose the engine that generates after the prompt was read

Cause: both engines of a generation were chosen before the prompt was read. Ruled out: late news of the leaving; the host had it 0.4 s after it. Change: the decode engine is chosen anew when the prompt was read.

--- a/crates/yucca-serve/src/choose.rs
+++ b/crates/yucca-serve/src/choose.rs
@@ -105,24 +105,56 @@
     tried: &[BackEndKey],
     now_ms: u64,
 ) -> Option<EngineChoice> {
-    let mut keys = fit(directory, need.service, tried, now_ms);
-    let empty = Prompt::default();
-    let prompt = need.request.prompt.as_ref().unwrap_or(&empty);
-    let chain = chain(prompt);
-    let kept: Vec<u32> = keys
-        .iter()
-        .map(|key| directory.get(*key).load.kept_tokens(&chain, now_ms))
-        .collect();
-    let keeper = keys.iter().zip(&kept).max_by_key(|(_, kept)| **kept);
-    let (keeper, reachable) = keeper.map_or((None, 0), |(key, kept)| (Some(*key), *kept));
-    let kept_by = |key: BackEndKey| directory.get(key).load.kept_tokens(&chain, now_ms);
-    if !need.may_read_apart {
-        keys.retain(|key| directory.get(*key).entry.phase == Phase::Decode);
-    }
-    let is_local = directory.is_local(need.zone);
-    let views: Vec<EngineView> = keys
-        .iter()
-        .map(|key| {
+    let candidates = Candidates::of(directory, need, tried, now_ms);
+    let choice = prompt_placement::choose(&candidates.views, &candidates.prompt)?;
+    let mut chosen = with_keys(&choice, &candidates.keys);
+    let reader = chosen.prefill.unwrap_or(chosen.decode);
+    let kept = |key: BackEndKey| {
+        let load = &directory.get(key).load;
+        load.kept_tokens(&candidates.chain, now_ms)
+    };
+    chosen.keeper = candidates
+        .keeper
+        .filter(|key| *key != reader && kept(*key) > kept(reader));
+    Some(chosen)
+}
+
+/// The engine that generates the answer to a prompt that another engine has read meanwhile.
+pub fn decode_engine(
+    directory: &Directory,
+    need: &Need<'_>,
+    tried: &[BackEndKey],
+    now_ms: u64,
+) -> Option<BackEndKey> {
+    let candidates = Candidates::of(directory, need, tried, now_ms);
+    let at = prompt_placement::choose_decode(&candidates.views, &candidates.prompt)?;
+    Some(candidates.keys[at])
+}
+
+/// Engines that a request may use, as the pure choice sees them.
+struct Candidates {
+    keys: Vec<BackEndKey>,
+    views: Vec<EngineView>,
+    prompt: prompt_placement::Prompt,
+    chain: Vec<(u64, u32)>,
+    /// Engine that keeps most of the prompt.
+    keeper: Option<BackEndKey>,
+}
+
+impl Candidates {
+    fn of(directory: &Directory, need: &Need<'_>, tried: &[BackEndKey], now_ms: u64) -> Self {
+        let mut keys = fit(directory, need.service, tried, now_ms);
+        let empty = Prompt::default();
+        let prompt = need.request.prompt.as_ref().unwrap_or(&empty);
+        let chain = chain(prompt);
+        let kept_by = |key: BackEndKey| directory.get(key).load.kept_tokens(&chain, now_ms);
+        let keeper = keys.iter().copied().max_by_key(|key| kept_by(*key));
+        let reachable_tokens = keeper.map_or(0, kept_by);
+        if !need.may_read_apart {
+            keys.retain(|key| directory.get(*key).entry.phase == Phase::Decode);
+        }
+        let is_local = directory.is_local(need.zone);
+        let view = |key: &BackEndKey| {
             let back_end = directory.get(*key);
             let is_remote = back_end.entry.zone != need.zone;
             let unseen_ms = if is_local && is_remote {
@@ -131,34 +163,37 @@
                 0.0
             };
             let excess_rate = (back_end.fitness.failure_rate() - TOLERATED_RATE).max(0.0);
+            let memory_tokens = need.memory_tokens.max(1) as f64;
             EngineView {
                 phase: back_end.entry.phase,
                 pending_ms: back_end.load.pending_ms(now_ms) + unseen_ms,
                 stall_ms: back_end.load.stall_ms(now_ms),
                 streams: back_end.load.all_streams(now_ms),
                 slots: need.slots,
-                memory_use: back_end.load.all_tokens(now_ms) as f64
-                    / need.memory_tokens.max(1) as f64,
+                memory_use: back_end.load.all_tokens(now_ms) as f64 / memory_tokens,
                 kept_tokens: kept_by(*key),
-                reachable_tokens: reachable,
+                reachable_tokens,
                 is_remote,
                 speed: 1.0,
                 fault_ms: excess_rate * FAULT_MS,
             }
-        })
-        .collect();
-    let generating_ms = f64::from(need.tokens_per_event) * TOKEN_MS;
-    let prompt = prompt_placement::Prompt {
-        tokens: prompt.tokens,
-        request_kb: need.request.size_kb(),
-        answer_kb: f64::from(prompt.max_output_tokens) * EVENT_KB,
-        pause_ms: (need.gap_ms as f64 - generating_ms).max(0.0),
-    };
-    let choice = prompt_placement::choose(&views, &prompt)?;
-    let mut chosen = with_keys(&choice, &keys);
-    let reader = chosen.prefill.unwrap_or(chosen.decode);
-    chosen.keeper = keeper.filter(|key| *key != reader && reachable > kept_by(reader));
-    Some(chosen)
+        };
+        let views = keys.iter().map(view).collect();
+        let generating_ms = f64::from(need.tokens_per_event) * TOKEN_MS;
+        let prompt = prompt_placement::Prompt {
+            tokens: prompt.tokens,
+            request_kb: need.request.size_kb(),
+            answer_kb: f64::from(prompt.max_output_tokens) * EVENT_KB,
+            pause_ms: (need.gap_ms as f64 - generating_ms).max(0.0),
+        };
+        Self {
+            keys,
+            views,
+            prompt,
+            chain,
+            keeper,
+        }
+    }
 }
 
 fn with_keys(choice: &Choice, keys: &[BackEndKey]) -> EngineChoice {
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -12,7 +12,7 @@
 use yuccacove::event::Event;
 
 use crate::choose::{self, EngineChoice, Need};
-use crate::directory::BackEndKey;
+use crate::directory::{BackEndKey, Directory};
 use crate::events::EventBuffer;
 use crate::host::{Host, InFlight};
 use crate::loads::Share;
@@ -116,11 +116,17 @@
                 }
             }
         }
+        let decode = match lease.handle {
+            Some(_) => choose_decode(job),
+            None => Some(choice.decode),
+        };
+        let Some(key) = decode else {
+            return Err(Box::new(job.refuse(Code::NoBackend)));
+        };
         let before = job.sends();
         if !job.begin_run() {
             return Err(Box::new(job.refuse(Code::BackendFailed)));
         }
-        let key = choice.decode;
         let tokens = job.request.prompt.as_ref().map_or(0, |p| p.tokens);
         let in_flight = InFlight::start(host, key, Share::Generation { tokens });
         let state = job.run_state();
@@ -146,9 +152,24 @@
 }
 
 fn choose_engines<B: BackEnds>(job: &Job<B>) -> Option<EngineChoice> {
+    with_need(job, |directory, need, tried| {
+        choose::engines(directory, need, tried, job.host.now_ms())
+    })
+}
+
+/// The engine that generates the answer, chosen after the prompt was read: the loads have changed,
+/// and an engine may have left, while it was.
+fn choose_decode<B: BackEnds>(job: &Job<B>) -> Option<BackEndKey> {
+    with_need(job, |directory, need, tried| {
+        choose::decode_engine(directory, need, tried, job.host.now_ms())
+    })
+}
+
+fn with_need<B: BackEnds, T>(
+    job: &Job<B>,
+    choose: impl FnOnce(&Directory, &Need<'_>, &[BackEndKey]) -> T,
+) -> T {
     let host = &job.host;
-    let directory = host.directory.borrow();
-    let tried = job.tried.borrow();
     let need = Need {
         may_read_apart: job.sends().read().is_some(),
         request: &job.request,
@@ -159,7 +180,7 @@
         slots: job.engine.slots,
         memory_tokens: job.engine.kv_tokens,
     };
-    choose::engines(&directory, &need, &tried, host.now_ms())
+    choose(&host.directory.borrow(), &need, &job.tried.borrow())
 }
 
 /// Address of the engine from which kept parts of the prompt are fetched.
--- a/crates/yucca-serve/tests/common/mod.rs
+++ b/crates/yucca-serve/tests/common/mod.rs
@@ -277,6 +277,8 @@
 pub struct FakeBackEnds {
     runs: RefCell<HashMap<String, VecDeque<Step>>>,
     reads: RefCell<VecDeque<Result<(), CallFault>>>,
+    /// Time that reading a prompt takes.
+    pub read_ms: Cell<u64>,
     /// Calls in order.
     pub seen: RefCell<Vec<Seen>>,
     /// Bodies that were dropped before their end.
@@ -388,7 +390,7 @@
         call: Call,
     ) -> Result<PromptHandle, CallFault> {
         self.note(to, &call, true);
-        wait_ms(1).await;
+        wait_ms(1 + self.read_ms.get()).await;
         let outcome = self.reads.borrow_mut().pop_front();
         outcome.unwrap_or(Ok(()))?;
         Ok(PromptHandle {
--- a/crates/yucca-serve/tests/serve.rs
+++ b/crates/yucca-serve/tests/serve.rs
@@ -399,6 +399,38 @@
     });
 }
 
+/// Found on the users' bench: the engine that was to generate had left while the prompt was read for
+/// three seconds, and got the request all the same.
+#[test]
+fn serve_stream_engine_leaves_during_read() {
+    for is_draining in [true, false] {
+        run_virtual(async {
+            let host = serving_host(route(STREAM, 1));
+            host.back_ends.read_ms.set(700);
+            let serving = Rc::clone(&host);
+            let reply =
+                tokio::task::spawn_local(async move { serve(&serving, generation()).await });
+            wait_ms(100).await;
+            {
+                let mut directory = host.directory.borrow_mut();
+                if is_draining {
+                    let mut leaving =
+                        common::entry("model", 4, yuccacove::prompt_placement::Phase::Decode);
+                    leaving.is_draining = true;
+                    directory.listed("gen-1", 2, leaving, 100);
+                } else {
+                    directory.removed("gen-1", 2, 100);
+                }
+            }
+            let reply = reply.await.expect("no panic");
+            assert_eq!(reply.head.status, StatusCode::OK);
+            let runs = host.back_ends.runs();
+            assert_eq!(runs.len(), 1);
+            assert_eq!(runs[0].id, "gen-2");
+        });
+    }
+}
+
 /// A generation that may not be resumed is never run twice, whatever its engine did.
 #[test]
 fn serve_stream_at_most_once() {
--- a/src/prompt_placement.rs
+++ b/src/prompt_placement.rs
@@ -220,18 +220,8 @@
             )
         })
         .min_by(|a, b| a.0.total_cmp(&b.0))?;
+    let (decode_score, decode) = best_decode(engines, prompt)?;
     let transfer_ms = transfer_ms(prompt.tokens);
-    let (decode_score, decode) = engines
-        .iter()
-        .enumerate()
-        .filter(|(_, engine)| engine.phase == Phase::Decode)
-        .map(|(at, engine)| {
-            let bytes = zone_ms(engine, prompt.request_kb + prompt.answer_kb);
-            // Reading on the decode engine is interleaved, so that a part of it delays the step.
-            let busy_ms = step_ms(engine) + engine.pending_ms.min(20.0) + slot_ms(engine);
-            (transfer_ms + busy_ms + bytes + engine.fault_ms, at)
-        })
-        .min_by(|a, b| a.0.total_cmp(&b.0))?;
     let reader = &engines[prefill];
     let read = reading(reader, prompt, reader.speed);
     let choice = Choice {
@@ -246,6 +236,28 @@
     Some((read_score + decode_score, choice))
 }
 
+/// The decode engine for a prompt that another engine has read, or `None` without any.
+pub fn choose_decode(engines: &[EngineView], prompt: &Prompt) -> Option<usize> {
+    best_decode(engines, prompt).map(|(_, decode)| decode)
+}
+
+fn best_decode(engines: &[EngineView], prompt: &Prompt) -> Option<(f64, usize)> {
+    engines
+        .iter()
+        .enumerate()
+        .filter(|(_, engine)| engine.phase == Phase::Decode)
+        .map(|(at, engine)| {
+            let bytes = zone_ms(engine, prompt.request_kb + prompt.answer_kb);
+            // Reading on the decode engine is interleaved, so that a part of it delays the step.
+            let busy_ms = step_ms(engine) + engine.pending_ms.min(20.0) + slot_ms(engine);
+            (
+                transfer_ms(prompt.tokens) + busy_ms + bytes + engine.fault_ms,
+                at,
+            )
+        })
+        .min_by(|a, b| a.0.total_cmp(&b.0))
+}
+
 fn step_ms(engine: &EngineView) -> f64 {
     STEP_MS
         + STEP_MS_PER_STREAM * f64::from(engine.streams)
