Keep suspects of two hosts off one engine

Cause: after the loss of an engine two hosts placed a suspect each on one other engine, as each knew only its own. Ruled out: the retry through a second host, which told peers had already mended. Change: a host tells its peers of a suspect and of its engine before it sends it; of two hosts that chose one engine, the one with the lower fingerprint goes on.

--- a/crates/yucca-entry/src/chat_run.rs
+++ b/crates/yucca-entry/src/chat_run.rs
@@ -18,6 +18,7 @@
 use crate::engine_stream::{EngineEvent, EngineRequest, EngineStream, StreamBounds};
 use crate::fleet::{ChosenEngine, Need};
 use crate::host::Host;
+use crate::peers;
 use crate::probe;
 use crate::problem::Problem;
 use crate::quota;
@@ -214,7 +215,15 @@
                 },
             );
             match placed {
-                Place::Placed(engine, run) => return Ok((engine, run)),
+                Place::Placed(engine, run) if !run.is_suspect() => return Ok((engine, run)),
+                Place::Placed(engine, run) => {
+                    peers::tell_suspects(self.host).await;
+                    if run.confirm() {
+                        return Ok((engine, run));
+                    }
+                    drop(run);
+                    sleep(Duration::from_millis(SUSPECT_PAUSE_MS)).await;
+                }
                 Place::Nowhere => return Err(self.no_engine_problem(last)),
                 Place::Refused => return Err(self.suspect_problem()),
                 Place::Wait => sleep(Duration::from_millis(SUSPECT_PAUSE_MS)).await,
--- a/crates/yucca-entry/src/peers.rs
+++ b/crates/yucca-entry/src/peers.rs
@@ -226,6 +226,8 @@
 fn digest(host: &Host) -> Digest {
     let members = host.peers.lock();
     Digest {
+        sender: host.name.clone(),
+        running_suspects: host.suspicions.running_suspects(),
         records: members
             .as_ref()
             .map(|m| m.sample(seed(host), boot_ms()))
@@ -247,6 +249,8 @@
             members.hear(record, boot_ms());
         }
     }
+    let running = digest.running_suspects.clone();
+    host.suspicions.hear_running(&digest.sender, running);
     for suspect in &digest.suspects {
         host.suspicions.hear(&wire::to_rumour(*suspect));
     }
--- a/crates/yucca-entry/src/suspicion.rs
+++ b/crates/yucca-entry/src/suspicion.rs
@@ -8,19 +8,33 @@
 use yuccacove::event::Event;
 use yuccacove::suspect::{Fingerprint, Placement, Rumour, Suspects};
 
+use crate::wire::SuspectOnEngine;
+
 #[derive(Debug)]
 struct Running {
     request_id: String,
     fingerprint: Fingerprint,
     is_suspect: bool,
+    is_sent: bool,
+}
+
+/// Suspects that another host runs, as it last told.
+#[derive(Debug)]
+struct PeerSuspects {
+    running: Vec<SuspectOnEngine>,
+    told_ms: u64,
 }
 
 #[derive(Debug, Default)]
 struct Inner {
     suspects: Suspects,
     by_engine: HashMap<String, Vec<Running>>,
+    by_peer: HashMap<String, PeerSuspects>,
 }
 
+/// Time after which what another host told of its suspects no longer counts.
+const PEER_MS: u64 = 2_000;
+
 /// Suspects of this host with the requests that run on each engine.
 #[derive(Debug, Default)]
 pub struct Suspicions {
@@ -53,6 +67,7 @@
         let excluded = match inner.suspects.placement(fingerprint, boot_ms()) {
             Placement::Refuse => return Place::Refused,
             Placement::Wait => return Place::Wait,
+            Placement::Apart if inner.runs_at_peer(fingerprint) => return Place::Wait,
             Placement::Anywhere => Vec::new(),
             Placement::Apart => inner.engines_with_suspects(),
         };
@@ -69,6 +84,7 @@
             request_id: request_id.to_owned(),
             fingerprint,
             is_suspect,
+            is_sent: !is_suspect,
         };
         inner
             .by_engine
@@ -81,10 +97,34 @@
             engine,
             request_id: request_id.to_owned(),
             fingerprint,
+            is_suspect,
         };
         Place::Placed(chosen, run)
     }
 
+    /// The suspects that this host runs, or is about to run.
+    pub fn running_suspects(&self) -> Vec<SuspectOnEngine> {
+        let inner = self.lock();
+        let runs = inner.by_engine.iter().flat_map(|(engine, runs)| {
+            let suspects = runs.iter().filter(|run| run.is_suspect);
+            suspects.map(|run| SuspectOnEngine {
+                engine: engine.clone(),
+                fingerprint: run.fingerprint.0,
+                is_sent: run.is_sent,
+            })
+        });
+        runs.collect()
+    }
+
+    /// Takes the suspects that another host runs.
+    pub fn hear_running(&self, peer: &str, running: Vec<SuspectOnEngine>) {
+        let told = PeerSuspects {
+            running,
+            told_ms: boot_ms(),
+        };
+        self.lock().by_peer.insert(peer.to_owned(), told);
+    }
+
     /// Suspects to be told to peers.
     pub fn rumours(&self) -> Vec<Rumour> {
         self.lock().suspects.rumours(boot_ms()).collect()
@@ -102,13 +142,25 @@
 
 impl Inner {
     fn engines_with_suspects(&self) -> Vec<String> {
-        self.by_engine
-            .iter()
-            .filter(|(_, running)| running.iter().any(|r| r.is_suspect))
+        let own = self.by_engine.iter();
+        own.filter(|(_, running)| running.iter().any(|r| r.is_suspect))
             .map(|(engine, _)| engine.clone())
+            .chain(self.at_peers().map(|run| run.engine.clone()))
             .collect()
     }
 
+    fn at_peers(&self) -> impl Iterator<Item = &SuspectOnEngine> {
+        let now_ms = boot_ms();
+        let fresh = self.by_peer.values();
+        fresh
+            .filter(move |peer| now_ms < peer.told_ms + PEER_MS)
+            .flat_map(|peer| &peer.running)
+    }
+
+    fn runs_at_peer(&self, fingerprint: Fingerprint) -> bool {
+        self.at_peers().any(|run| run.fingerprint == fingerprint.0)
+    }
+
     /// Removes the request from its engine, unless a loss of the engine already did.
     fn remove(&mut self, engine: &str, request_id: &str) -> Option<Running> {
         let running = self.by_engine.get_mut(engine)?;
@@ -124,9 +176,35 @@
     engine: String,
     request_id: String,
     fingerprint: Fingerprint,
+    is_suspect: bool,
 }
 
 impl SuspectRun {
+    /// Whether the request is a suspect, which must be told to other hosts before it is sent.
+    pub fn is_suspect(&self) -> bool {
+        self.is_suspect
+    }
+
+    /// Whether the suspect may be sent, after the other hosts were told of it. Two hosts that chose
+    /// one engine at the same time both know it now; the one with the lower fingerprint goes on.
+    /// If both ran there, the loss of the engine would not tell which of them caused it.
+    pub fn confirm(&self) -> bool {
+        let mut inner = self.suspicions.lock();
+        let own = self.fingerprint.0;
+        let is_blocked = inner
+            .at_peers()
+            .filter(|run| run.engine == self.engine || run.fingerprint == own)
+            .any(|run| run.is_sent || run.fingerprint <= own);
+        if is_blocked {
+            return false;
+        }
+        let runs = inner.by_engine.entry(self.engine.clone()).or_default();
+        if let Some(run) = runs.iter_mut().find(|r| r.request_id == self.request_id) {
+            run.is_sent = true;
+        }
+        true
+    }
+
     /// Records the whole answer, which clears the request.
     pub fn survived(self) {
         let mut inner = self.suspicions.lock();
--- a/crates/yucca-entry/src/wire.rs
+++ b/crates/yucca-entry/src/wire.rs
@@ -66,9 +66,24 @@
     NotOwner,
 }
 
+/// A suspected request on an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectOnEngine {
+    /// Name of the engine.
+    pub engine: String,
+    /// Content.
+    pub fingerprint: [u8; 16],
+    /// Whether it was sent; until then its host gives way to others.
+    pub is_sent: bool,
+}
+
 /// What each message of an exchange tells of its sender.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Digest {
+    /// Name of the sender.
+    pub sender: String,
+    /// Suspects that the sender runs, or is about to run.
+    pub running_suspects: Vec<SuspectOnEngine>,
     /// Heartbeats, the sender's own first.
     pub records: Vec<Record>,
     /// Time since the object API last answered the sender.
--- a/crates/yucca-entry/tests/limits.rs
+++ b/crates/yucca-entry/tests/limits.rs
@@ -321,6 +321,8 @@
     let calls = PeerCalls::default();
     for counter in 1.. {
         let digest = Digest {
+            sender: "entry-2".to_owned(),
+            running_suspects: Vec::new(),
             records: vec![Record {
                 name: "entry-2".to_owned(),
                 incarnation: 1,
