--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -215,6 +215,11 @@
         self.sends.set(before);
     }
 
+    /// Whether a back end has got a part of the request before.
+    pub fn has_started(&self) -> bool {
+        self.may_have_run.get() || !self.tried.borrow().is_empty()
+    }
+
     /// The sends so far.
     pub fn sends(&self) -> SendLimit {
         self.sends.get()
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -10,6 +10,7 @@
 use yucca_io::log;
 use yuccacove::code::Code;
 use yuccacove::event::Event;
+use yuccacove::forecast::{Forecast, Verdict};
 
 use crate::choose::{self, EngineChoice, Need};
 use crate::directory::{BackEndKey, Directory};
@@ -89,9 +90,8 @@
         let Some(choice) = choose_engines(job) else {
             return Err(Box::new(job.refuse(Code::NoBackend)));
         };
-        if choice.first_token_ms > job.left_ms() as f64 {
-            let over_ms = choice.first_token_ms - job.left_ms() as f64;
-            let reply = job.refuse_until(Code::DeadlineUnreachable, over_ms as u64);
+        if let Verdict::Refuse { retry_after_ms } = admit(job, &choice) {
+            let reply = job.refuse_until(Code::DeadlineUnreachable, retry_after_ms);
             return Err(Box::new(reply));
         }
         let mut lease = PromptLease {
@@ -151,6 +151,20 @@
     }
 }
 
+/// Whether a generation is worth a start by its forecast. One that was started before goes on.
+fn admit<B: BackEnds>(job: &Job<B>, choice: &EngineChoice) -> Verdict {
+    if job.has_started() {
+        return Verdict::Admit;
+    }
+    let wait = Forecast {
+        first_token_ms: choice.first_token_ms,
+        elapsed_ms: job.elapsed_ms(),
+        left_ms: job.left_ms(),
+        target_ms: job.route.target_ms,
+    };
+    wait.verdict(job.host.draw())
+}
+
 fn choose_engines<B: BackEnds>(job: &Job<B>) -> Option<EngineChoice> {
     with_need(job, |directory, need, tried| {
         choose::engines(directory, need, tried, job.host.now_ms())
--- /dev/null
+++ b/src/forecast.rs
@@ -0,0 +1,71 @@
+//! Whether a generation is started, or refused because of its forecast.
+//!
+//! The load that this answers is a burst beyond what the engines can take. When all requests of a
+//! burst wait in the engines' queues, all of them miss their target, and so do those that come after
+//! it. Refusing what would miss its target keeps the queues short, so that the engines serve others
+//! in time; the refused callers come back when the burst has passed.
+//!
+//! ```
+//! use yuccacove::forecast::{Forecast, Verdict};
+//!
+//! let mut forecast = Forecast {
+//!     first_token_ms: 80.0,
+//!     elapsed_ms: 0,
+//!     left_ms: 8_000,
+//!     target_ms: 250,
+//! };
+//! assert_eq!(forecast.verdict(0), Verdict::Admit);
+//! forecast.first_token_ms = 1_800.0;
+//! assert!(matches!(forecast.verdict(0), Verdict::Refuse { .. }));
+//! ```
+
+/// Multiple of the target beyond which a request is refused. Forecasts are often too long by half.
+const REFUSE_FACTOR: f64 = 2.0;
+/// Shortest forecast for which a request is refused.
+const MIN_REFUSE_MS: f64 = 400.0;
+/// Part of the time left after which a refused caller comes back at the latest.
+const MAX_RETRY_SHARE: f64 = 0.3;
+/// Part of the forecast wait by which callers that are refused together come back apart.
+const SPREAD: f64 = 1.0;
+
+/// Forecast of a generation that was not started yet.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Forecast {
+    /// Forecast time until the first token.
+    pub first_token_ms: f64,
+    /// Time since the request was received.
+    pub elapsed_ms: u64,
+    /// Time that the caller still waits.
+    pub left_ms: u64,
+    /// Time within which the first token is in time.
+    pub target_ms: u64,
+}
+
+/// What is done with a generation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is started.
+    Admit,
+    /// It is refused, and its caller may come back.
+    Refuse {
+        /// Time after which the caller may come back.
+        retry_after_ms: u64,
+    },
+}
+
+impl Forecast {
+    /// Decides; `draw` spreads the callers that are refused and may be any number.
+    pub fn verdict(&self, draw: u64) -> Verdict {
+        let total_ms = self.first_token_ms + self.elapsed_ms as f64;
+        let limit_ms = (self.target_ms as f64 * REFUSE_FACTOR).max(MIN_REFUSE_MS);
+        if total_ms <= limit_ms && self.first_token_ms <= self.left_ms as f64 {
+            return Verdict::Admit;
+        }
+        let spread = 1.0 + SPREAD * (draw % 1_000) as f64 / 1_000.0;
+        let latest_ms = self.left_ms as f64 * MAX_RETRY_SHARE;
+        let retry_after_ms = (self.first_token_ms * spread).min(latest_ms);
+        Verdict::Refuse {
+            retry_after_ms: retry_after_ms as u64,
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod error;
 pub mod event;
 pub mod fitness;
+pub mod forecast;
 pub mod health;
 pub mod lease;
 pub mod limits;
--- a/src/prompt_placement.rs
+++ b/src/prompt_placement.rs
@@ -161,15 +161,17 @@
             if engine.stall_ms + read.own_ms > max_stall_ms {
                 return None;
             }
-            let first_token_ms =
-                engine.pending_ms + read.total_ms() + step_ms(engine) + slot_ms(engine);
+            let score = engine.pending_ms + read.total_ms() + step_ms(engine) + slot_ms(engine);
             let bytes = zone_ms(engine, prompt.request_kb + prompt.answer_kb);
             let choice = Choice {
                 placement: Placement::OneStage { decode },
-                first_token_ms,
+                first_token_ms: engine.pending_ms
+                    + read.total_ms()
+                    + STEP_MS
+                    + queue_ms(engine),
                 read_ms: read.own_ms,
             };
-            Some((first_token_ms + bytes + engine.fault_ms, choice))
+            Some((score + bytes + engine.fault_ms, choice))
         })
         .min_by(|a, b| a.0.total_cmp(&b.0))
 }
@@ -229,8 +231,8 @@
         first_token_ms: reader.pending_ms
             + read.total_ms()
             + transfer_ms
-            + step_ms(&engines[decode])
-            + slot_ms(&engines[decode]),
+            + STEP_MS
+            + queue_ms(&engines[decode]),
         read_ms: read.own_ms,
     };
     Some((read_score + decode_score, choice))
@@ -264,7 +266,16 @@
         + STEP_MS_FULL_MEMORY * engine.memory_use
 }
 
-/// Wait for a free slot or for memory. It begins before the last is taken, since the count is late.
+/// Forecast wait for a slot or for memory: those beyond the engine's room wait until others end.
+fn queue_ms(engine: &EngineView) -> f64 {
+    if engine.slots == 0 {
+        return 0.0;
+    }
+    let slot_use = (f64::from(engine.streams) + 1.0) / f64::from(engine.slots);
+    (slot_use.max(engine.memory_use) - 1.0).max(0.0) * GENERATION_MS
+}
+
+/// Cost of a nearly full engine. It begins before the last slot is taken, since the count is late.
 fn slot_ms(engine: &EngineView) -> f64 {
     if engine.slots == 0 {
         return 0.0;
