Hold less urgent generations while room is short

Change: generations of rank 2 and below fill engines to 0.75 of their room, rank 1 to 0.95; they are held up to 1.5 times their target. Refusals begin at 1.3 of the target instead of 2.0.

--- a/crates/yucca-serve/src/choose.rs
+++ b/crates/yucca-serve/src/choose.rs
@@ -34,6 +34,8 @@
     pub first_token_ms: f64,
     /// Forecast time of reading the prompt in milliseconds.
     pub read_ms: f64,
+    /// Part of its room that the engine that generates has in use.
+    pub decode_use: f64,
     /// Engine that keeps more of the prompt than the one that reads it.
     pub keeper: Option<BackEndKey>,
 }
@@ -108,6 +110,7 @@
     let candidates = Candidates::of(directory, need, tried, now_ms);
     let choice = prompt_placement::choose(&candidates.views, &candidates.prompt)?;
     let mut chosen = with_keys(&choice, &candidates.keys);
+    chosen.decode_use = candidates.room_use(chosen.decode);
     let reader = chosen.prefill.unwrap_or(chosen.decode);
     let kept = |key: BackEndKey| {
         let load = &directory.get(key).load;
@@ -142,6 +145,16 @@
 }
 
 impl Candidates {
+    /// Part of its slots or memory that an engine has in use, whichever is more.
+    fn room_use(&self, key: BackEndKey) -> f64 {
+        let at = self.keys.iter().position(|candidate| *candidate == key);
+        at.map_or(0.0, |at| {
+            let view = &self.views[at];
+            let slots = f64::from(view.slots.max(1));
+            (f64::from(view.streams) / slots).max(view.memory_use)
+        })
+    }
+
     fn of(directory: &Directory, need: &Need<'_>, tried: &[BackEndKey], now_ms: u64) -> Self {
         let mut keys = fit(directory, need.service, tried, now_ms);
         let empty = Prompt::default();
@@ -206,6 +219,7 @@
         decode,
         first_token_ms: choice.first_token_ms,
         read_ms: choice.read_ms,
+        decode_use: 0.0,
         keeper: None,
     }
 }
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use tokio::sync::mpsc;
-use tokio::time::{Duration, sleep_until, timeout};
+use tokio::time::{Duration, sleep, sleep_until, timeout};
 use yucca_io::log;
 use yuccacove::code::Code;
 use yuccacove::event::Event;
@@ -24,6 +24,8 @@
 
 /// Chunks on their way to a caller.
 const CHUNKS_AHEAD: usize = 16;
+/// Interval in which a held request looks for room again.
+const HOLD_INTERVAL: Duration = Duration::from_millis(25);
 /// Time that reading a prompt may take beyond its forecast before its engine counts as silent.
 const READ_SLACK_MS: u64 = 800;
 /// Urgency of all runs on decode engines. A run that is preempted for a more urgent one reads its
@@ -90,9 +92,16 @@
         let Some(choice) = choose_engines(job) else {
             return Err(Box::new(job.refuse(Code::NoBackend)));
         };
-        if let Verdict::Refuse { retry_after_ms } = admit(job, &choice) {
-            let reply = job.refuse_until(Code::DeadlineUnreachable, retry_after_ms);
-            return Err(Box::new(reply));
+        match admit(job, &choice) {
+            Verdict::Admit => {}
+            Verdict::Hold => {
+                sleep(HOLD_INTERVAL).await;
+                continue;
+            }
+            Verdict::Refuse { retry_after_ms } => {
+                let reply = job.refuse_until(Code::DeadlineUnreachable, retry_after_ms);
+                return Err(Box::new(reply));
+            }
         }
         let mut lease = PromptLease {
             host: Rc::clone(host),
@@ -161,6 +170,8 @@
         elapsed_ms: job.elapsed_ms(),
         left_ms: job.left_ms(),
         target_ms: job.route.target_ms,
+        urgency: job.route.urgency,
+        engine_use: choice.decode_use,
     };
     wait.verdict(job.host.draw())
 }
--- a/src/forecast.rs
+++ b/src/forecast.rs
@@ -13,6 +13,8 @@
 //!     elapsed_ms: 0,
 //!     left_ms: 8_000,
 //!     target_ms: 250,
+//!     urgency: 0,
+//!     engine_use: 0.5,
 //! };
 //! assert_eq!(forecast.verdict(0), Verdict::Admit);
 //! forecast.first_token_ms = 1_800.0;
@@ -20,9 +22,11 @@
 //! ```
 
 /// Multiple of the target beyond which a request is refused. Forecasts are often too long by half.
-const REFUSE_FACTOR: f64 = 2.0;
+const REFUSE_FACTOR: f64 = 1.3;
 /// Shortest forecast for which a request is refused.
-const MIN_REFUSE_MS: f64 = 400.0;
+const MIN_REFUSE_MS: f64 = 250.0;
+/// Multiple of its target for which a less urgent request is held at most.
+const MAX_HOLD_FACTOR: f64 = 1.5;
 /// Part of the time left after which a refused caller comes back at the latest.
 const MAX_RETRY_SHARE: f64 = 0.3;
 /// Part of the forecast wait by which callers that are refused together come back apart.
@@ -39,6 +43,10 @@
     pub left_ms: u64,
     /// Time within which the first token is in time.
     pub target_ms: u64,
+    /// Rank, 0 being the most urgent.
+    pub urgency: u8,
+    /// Part of its room that the engine that is to generate has in use.
+    pub engine_use: f64,
 }
 
 /// What is done with a generation.
@@ -46,6 +54,8 @@
 pub enum Verdict {
     /// It is started.
     Admit,
+    /// It waits until engines have more room, which is kept for more urgent requests.
+    Hold,
     /// It is refused, and its caller may come back.
     Refuse {
         /// Time after which the caller may come back.
@@ -54,11 +64,20 @@
 }
 
 impl Forecast {
+    fn max_hold_ms(&self) -> u64 {
+        (self.target_ms as f64 * MAX_HOLD_FACTOR) as u64
+    }
+
     /// Decides; `draw` spreads the callers that are refused and may be any number.
     pub fn verdict(&self, draw: u64) -> Verdict {
+        if self.engine_use > room(self.urgency) && self.elapsed_ms < self.max_hold_ms() {
+            return Verdict::Hold;
+        }
         let total_ms = self.first_token_ms + self.elapsed_ms as f64;
         let limit_ms = (self.target_ms as f64 * REFUSE_FACTOR).max(MIN_REFUSE_MS);
-        if total_ms <= limit_ms && self.first_token_ms <= self.left_ms as f64 {
+        // A request that was held has missed its target for the sake of others.
+        let is_in_time = total_ms <= limit_ms || self.elapsed_ms >= self.max_hold_ms();
+        if is_in_time && self.first_token_ms <= self.left_ms as f64 {
             return Verdict::Admit;
         }
         let spread = 1.0 + SPREAD * (draw % 1_000) as f64 / 1_000.0;
@@ -69,3 +88,12 @@
         }
     }
 }
+
+/// Part of an engine's room that requests of a rank may fill.
+fn room(urgency: u8) -> f64 {
+    match urgency {
+        0 => f64::INFINITY,
+        1 => 0.95,
+        _ => 0.75,
+    }
+}
