--- a/src/phase_split.rs
+++ b/src/phase_split.rs
@@ -21,16 +21,16 @@
 /// Fewest decode engines of a pool of three or more.
 const MIN_DECODE: usize = 2;
 /// Part of its slots that a decode engine has in use at the peak.
-const SLOT_USE: f64 = 0.55;
+const SLOT_USE: f64 = 0.5;
 /// Part of its time that a prefill engine reads at the peak.
-const READING_USE: f64 = 0.6;
+const READING_USE: f64 = 0.8;
 /// Time in which a remembered peak falls by half. Bursts come back sooner than a change of phase
 /// pays.
 const PEAK_HALF_LIFE_MS: f64 = 20_000.0;
 /// Time of observation before the demand is trusted: reading begins before its streams do.
 const MATURE_MS: u64 = 4_000;
 /// Time over which the reading is averaged before it counts as a peak.
-const READING_WINDOW_MS: u64 = 1_000;
+const READING_WINDOW_MS: u64 = 2_000;
 
 /// Peaks of a pool's demand, with a slow decline.
 #[derive(Debug, Default, Clone, Copy, PartialEq)]
