--- a/src/forecast.rs
+++ b/src/forecast.rs
@@ -22,9 +22,9 @@
 //! ```
 
 /// Multiple of the target beyond which a request is refused. Forecasts are often too long by half.
-const REFUSE_FACTOR: f64 = 1.3;
+const REFUSE_FACTOR: f64 = 1.0;
 /// Shortest forecast for which a request is refused.
-const MIN_REFUSE_MS: f64 = 250.0;
+const MIN_REFUSE_MS: f64 = 200.0;
 /// Multiple of its target for which a less urgent request is held at most.
 const MAX_HOLD_FACTOR: f64 = 1.5;
 /// Part of the time left after which a refused caller comes back at the latest.
--- a/src/prompt_placement.rs
+++ b/src/prompt_placement.rs
@@ -165,10 +165,7 @@
             let bytes = zone_ms(engine, prompt.request_kb + prompt.answer_kb);
             let choice = Choice {
                 placement: Placement::OneStage { decode },
-                first_token_ms: engine.pending_ms
-                    + read.total_ms()
-                    + STEP_MS
-                    + queue_ms(engine),
+                first_token_ms: engine.pending_ms + read.total_ms() + STEP_MS + queue_ms(engine),
                 read_ms: read.own_ms,
             };
             Some((score + bytes + engine.fault_ms, choice))
--- a/tests/forecast.rs
+++ b/tests/forecast.rs
@@ -39,7 +39,10 @@
         other => panic!("{other:?}"),
     };
     let times: Vec<u64> = (0..1_000).step_by(100).map(retry_ms).collect();
-    assert!(times.iter().all(|ms| (1_000..=2_666).contains(ms)), "{times:?}");
+    assert!(
+        times.iter().all(|ms| (1_000..=2_666).contains(ms)),
+        "{times:?}"
+    );
     assert!(times.last() > times.first());
 }
 
