--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -16,6 +16,7 @@
 use crate::config::ServingConfig;
 use crate::directory::{BackEndKey, Directory};
 use crate::loads::Share;
+use crate::metrics::Metrics;
 use crate::peers::{Peers, Reading};
 use crate::ports::Target;
 
@@ -42,19 +43,6 @@
     pub lease_ms: u64,
 }
 
-/// Counters of a host's decisions.
-#[derive(Debug, Default)]
-pub struct Counts {
-    /// Requests received.
-    pub requests: Cell<u64>,
-    /// Requests refused before any back end got them.
-    pub refused: Cell<u64>,
-    /// Second sends.
-    pub retries: Cell<u64>,
-    /// Requests that ended without a whole answer.
-    pub failed: Cell<u64>,
-}
-
 /// State shared by all requests of a host.
 #[derive(Debug)]
 pub struct Host<B> {
@@ -70,8 +58,8 @@
     pub news: Notify,
     /// Demand of the model engines, of all hosts.
     pub demand: RefCell<PoolDemand>,
-    /// Counters.
-    pub counts: Counts,
+    /// Counters and histograms.
+    pub metrics: Metrics,
     config: RefCell<Option<Rc<ServingConfig>>>,
     budgets: RefCell<IndexMap<String, Budget>>,
     hosts: Cell<u32>,
@@ -91,7 +79,7 @@
             peers: Peers::default(),
             news: Notify::new(),
             demand: RefCell::default(),
-            counts: Counts::default(),
+            metrics: Metrics::default(),
             config: RefCell::default(),
             budgets: RefCell::default(),
             hosts: Cell::new(1),
@@ -162,7 +150,7 @@
     pub fn take_retry(&self, service: &str) -> bool {
         let taken = self.with_budget(service, Budget::take);
         if taken {
-            self.counts.retries.set(self.counts.retries.get() + 1);
+            self.metrics.retries.inc();
         }
         taken
     }
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod follow;
 pub mod host;
 pub mod loads;
+pub mod metrics;
 pub mod peers;
 pub mod plain;
 pub mod ports;
--- /dev/null
+++ b/crates/yucca-serve/src/metrics.rs
@@ -0,0 +1,127 @@
+//! Counters and latency histograms of a host.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+use yuccacove::code::Code;
+
+/// Upper bounds of the histograms' buckets, around the targets of answers and of pauses.
+const BUCKETS_S: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.3, 0.5, 1.0, 1.5, 3.0, 10.0,
+];
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByCode {
+    code: u16,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByUrgency {
+    urgency: u8,
+}
+
+type HistogramByUrgency = Family<ByUrgency, Histogram, fn() -> Histogram>;
+
+/// Counters and histograms that requests update.
+#[derive(Debug)]
+pub struct Metrics {
+    /// Requests received.
+    pub requests: Counter,
+    /// Second sends to back ends.
+    pub retries: Counter,
+    refused: Family<ByCode, Counter>,
+    failed: Family<ByCode, Counter>,
+    answer_s: HistogramByUrgency,
+    first_event_s: HistogramByUrgency,
+    longest_pause_s: HistogramByUrgency,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let histograms = || HistogramByUrgency::new_with_constructor(histogram);
+        Self {
+            requests: Counter::default(),
+            retries: Counter::default(),
+            refused: Family::default(),
+            failed: Family::default(),
+            answer_s: histograms(),
+            first_event_s: histograms(),
+            longest_pause_s: histograms(),
+        }
+    }
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(BUCKETS_S)
+}
+
+impl Metrics {
+    /// Records a request that no back end ran.
+    pub fn refused(&self, code: Code) {
+        let label = ByCode {
+            code: code.number(),
+        };
+        self.refused.get_or_create(&label).inc();
+    }
+
+    /// Records a request that ended without a whole answer and may have run.
+    pub fn failed(&self, code: Code) {
+        let label = ByCode {
+            code: code.number(),
+        };
+        self.failed.get_or_create(&label).inc();
+    }
+
+    /// Records a whole answer of a plain service.
+    pub fn answered(&self, urgency: u8, elapsed_ms: u64) {
+        observe(&self.answer_s, urgency, elapsed_ms);
+    }
+
+    /// Records a complete stream.
+    pub fn streamed(&self, urgency: u8, first_event_ms: u64, longest_pause_ms: u64) {
+        observe(&self.first_event_s, urgency, first_event_ms);
+        observe(&self.longest_pause_s, urgency, longest_pause_ms);
+    }
+
+    /// All metrics as text in the OpenMetrics format.
+    pub fn text(&self) -> String {
+        let mut registry = Registry::with_prefix("yucca");
+        registry.register("requests", "Requests received", self.requests.clone());
+        registry.register("retries", "Second sends to back ends", self.retries.clone());
+        registry.register("refused", "Requests that did not run", self.refused.clone());
+        registry.register(
+            "failed",
+            "Requests without a whole answer that may have run",
+            self.failed.clone(),
+        );
+        let histograms = [
+            ("answer", "Whole answers of plain services", &self.answer_s),
+            (
+                "first_event",
+                "First events of streams",
+                &self.first_event_s,
+            ),
+            (
+                "longest_pause",
+                "Longest pauses of streams",
+                &self.longest_pause_s,
+            ),
+        ];
+        for (name, help, histogram) in histograms {
+            registry.register_with_unit(name, help, Unit::Seconds, histogram.clone());
+        }
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &registry);
+        text
+    }
+}
+
+fn observe(histograms: &HistogramByUrgency, urgency: u8, elapsed_ms: u64) {
+    let label = ByUrgency { urgency };
+    let seconds = elapsed_ms as f64 / 1_000.0;
+    histograms.get_or_create(&label).observe(seconds);
+}
--- a/crates/yucca-serve/src/plain.rs
+++ b/crates/yucca-serve/src/plain.rs
@@ -12,7 +12,7 @@
 use crate::loads::Share;
 use crate::ports::{Answer, AnswerBody, BackEnds, CallFault};
 use crate::reply::{Interrupted, Reply};
-use crate::serve::Job;
+use crate::serve::{Job, Stage};
 
 /// Answers up to this size are read whole, so that one that breaks off can be asked for again.
 const MAX_WHOLE_BYTES: usize = 1_024 * 1_024;
@@ -68,7 +68,7 @@
                 if matches!(fault, CallFault::NotSent(_)) {
                     job.unsend(before);
                 }
-                if !job.failed(key, &fault, state) {
+                if !job.failed(key, Stage::Run, &fault, state) {
                     return failed_answer.unwrap_or_else(|| job.refuse(Code::BackendUnreachable));
                 }
             }
@@ -126,6 +126,9 @@
 }
 
 fn finish<B: BackEnds>(job: &Job<B>, reply: Reply) -> Reply {
+    job.host
+        .metrics
+        .answered(job.route.urgency, job.elapsed_ms());
     log::write(
         Event::Finished,
         &format!(
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -26,7 +26,7 @@
 
 /// Serves a request and returns the reply, whose body may still be arriving.
 pub async fn serve<B: BackEnds>(host: &Rc<Host<B>>, request: Request) -> Reply {
-    host.counts.requests.set(host.counts.requests.get() + 1);
+    host.metrics.requests.inc();
     let Some(config) = host.config() else {
         return refuse(host, &request.id, Code::NotReady, Some(RETRY_AFTER_MS));
     };
@@ -52,7 +52,7 @@
 
 /// Refuses a request that no back end has got.
 fn refuse<B>(host: &Host<B>, id: &str, code: Code, retry_after_ms: Option<u64>) -> Reply {
-    host.counts.refused.set(host.counts.refused.get() + 1);
+    host.metrics.refused(code);
     let fields = format!("request={id} code={} ran=no", code.number());
     log::write(Event::Refused, &fields);
     Reply::refusal(code, retry_after_ms)
@@ -172,8 +172,15 @@
         self.may_have_run.set(may_have_run);
     }
 
-    /// Records a failed call and says whether the request can be sent once more.
-    pub fn failed(&self, key: BackEndKey, fault: &CallFault, before: RunState) -> bool {
+    /// Records a failed call and says whether the request can be sent once more. `before` is what was
+    /// known of runs before the call.
+    pub fn failed(
+        &self,
+        key: BackEndKey,
+        stage: Stage,
+        fault: &CallFault,
+        before: RunState,
+    ) -> bool {
         let host = &self.host;
         let now_ms = host.now_ms();
         self.tried.borrow_mut().push(key);
@@ -189,9 +196,11 @@
             }
         }
         let is_unsent = matches!(fault, CallFault::NotSent(_));
-        let has_run = match fault {
-            CallFault::NotSent(_) | CallFault::NotRun { .. } => before == RunState::MayHaveRun,
-            CallFault::Broken(_) | CallFault::Crossed => true,
+        let had_run = before == RunState::MayHaveRun;
+        let has_run = match (stage, fault) {
+            (Stage::Read, _) => had_run,
+            (Stage::Run, CallFault::NotSent(_) | CallFault::NotRun { .. }) => had_run,
+            (Stage::Run, CallFault::Broken(_) | CallFault::Crossed) => true,
         };
         self.may_have_run.set(has_run);
         if is_unsent {
@@ -199,7 +208,7 @@
         }
         let target = host.target(key);
         let fields = format!(
-            "request={} back_end={} service={} fault={fault:?} elapsed_ms={} may_have_run={has_run}",
+            "request={} stage={stage:?} back_end={} service={} fault={fault:?} elapsed_ms={} may_have_run={has_run}",
             self.request.id,
             target.id,
             self.service,
@@ -251,11 +260,11 @@
             };
             return refuse(host, &self.request.id, code, Some(retry_after_ms));
         }
-        host.counts.failed.set(host.counts.failed.get() + 1);
         let code = match code {
             Code::DeadlineExceeded | Code::BackendFailed => code,
             _ => Code::OutcomeUnknown,
         };
+        host.metrics.failed(code);
         let fields = format!(
             "request={} code={} ran=unknown elapsed_ms={}",
             self.request.id,
@@ -267,6 +276,15 @@
     }
 }
 
+/// What a call asks of a back end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// To read a prompt for another engine, which is no run.
+    Read,
+    /// To run the request.
+    Run,
+}
+
 /// Whether a request may have run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunState {
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -20,7 +20,7 @@
 use crate::peers;
 use crate::ports::{Answer, AnswerBody, BackEnds, CallFault, PromptHandle};
 use crate::reply::{Interrupted, Reply};
-use crate::serve::{Job, RunState};
+use crate::serve::{Job, RunState, Stage};
 
 /// Chunks on their way to a caller.
 const CHUNKS_AHEAD: usize = 16;
@@ -114,10 +114,7 @@
             match read_prompt(job, prefill, &choice).await {
                 Ok(handle) => lease.handle = Some(handle),
                 Err(fault) => {
-                    // Reading a prompt is no run, whatever became of the call.
-                    let state = job.run_state();
-                    job.failed(prefill, &fault, state);
-                    job.set_may_have_run(state == RunState::MayHaveRun);
+                    job.failed(prefill, Stage::Read, &fault, job.run_state());
                     if job.sends().run().is_none() {
                         return Err(Box::new(job.refuse(Code::NoBackend)));
                     }
@@ -152,7 +149,7 @@
                 if matches!(fault, CallFault::NotSent(_)) {
                     job.unsend(before);
                 }
-                if !job.failed(key, &fault, state) {
+                if !job.failed(key, Stage::Run, &fault, state) {
                     return Err(Box::new(job.refuse(Code::BackendUnreachable)));
                 }
             }
@@ -414,6 +411,10 @@
         );
         match end {
             End::Complete => {
+                let first_ms = pace.first_ms.unwrap_or(0);
+                job.host
+                    .metrics
+                    .streamed(job.route.urgency, first_ms, pace.max_gap_ms);
                 let mut directory = job.host.directory.borrow_mut();
                 directory.get_mut(opened.key).fitness.answered(true);
                 return log::write(Event::Finished, &fields);
@@ -425,7 +426,7 @@
             }
             End::Broken(cause) => {
                 let fault = CallFault::Broken(cause);
-                let may_repeat = job.failed(opened.key, &fault, RunState::MayHaveRun);
+                let may_repeat = job.failed(opened.key, Stage::Run, &fault, RunState::MayHaveRun);
                 // The failed run is closed before another one starts.
                 drop(opened);
                 if !may_repeat {
