--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -198,8 +198,9 @@
         let is_unsent = matches!(fault, CallFault::NotSent(_));
         let had_run = before == RunState::MayHaveRun;
         let has_run = match (stage, fault) {
-            (Stage::Read, _) => had_run,
-            (Stage::Run, CallFault::NotSent(_) | CallFault::NotRun { .. }) => had_run,
+            (Stage::Read, _) | (Stage::Run, CallFault::NotSent(_) | CallFault::NotRun { .. }) => {
+                had_run
+            }
             (Stage::Run, CallFault::Broken(_) | CallFault::Crossed) => true,
         };
         self.may_have_run.set(has_run);
