--- a/crates/yucca-serve/src/roles.rs
+++ b/crates/yucca-serve/src/roles.rs
@@ -367,8 +367,7 @@
     let now_ms = host.now_ms();
     let until_ms = match reply {
         Ok(OrderReply::Accepted) => now_ms + switch_ms + LIST_SLACK_MS,
-        Ok(OrderReply::Holds) => now_ms + REFUSED_MS,
-        Ok(OrderReply::Busy | OrderReply::Fenced | OrderReply::Refused(_))
+        Ok(OrderReply::Holds | OrderReply::Busy | OrderReply::Fenced | OrderReply::Refused(_))
         | Err(CallFault::NotSent(_) | CallFault::NotRun { .. }) => now_ms + REFUSED_MS,
         Err(CallFault::Broken(_) | CallFault::Crossed) => now_ms + UNKNOWN_ORDER_MS,
     };
