Tell all availability zones of long shared parts that are new

Change: a shared part of 1,000 tokens or more that no engine was known to keep is told to hosts of all zones. The list of hosts is watched for 25 s, not 8 s.

--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -15,6 +15,8 @@
 /// Time for which a watch waits for changes. A shorter trouble of the store than [`CONTACT_MS`] can
 /// pass unnoticed and may lose a watch's answer, so that this bounds the time until it is made good.
 const WATCH_MS: u64 = 8_000;
+/// The same for kinds that nothing urgent depends on.
+const SLOW_WATCH_MS: u64 = 25_000;
 /// Interval in which the store is asked whether it answers.
 const CONTACT_MS: u64 = 900;
 /// Pause between the changes of a watch and the next call, in which further changes gather. It adds
@@ -189,6 +191,13 @@
     );
 }
 
+fn watch_ms(kind: Kind) -> u64 {
+    match kind {
+        Kind::Config | Kind::BackEnds => WATCH_MS,
+        Kind::Hosts | Kind::Leases => SLOW_WATCH_MS,
+    }
+}
+
 fn gather_ms(kind: Kind) -> u64 {
     match kind {
         Kind::Config | Kind::BackEnds => GATHER_MS,
@@ -222,7 +231,7 @@
         let result = match since {
             None => store.list(kind).await,
             Some(revision) => tokio::select! {
-                result = store.watch(kind, revision, WATCH_MS) => result,
+                result = store.watch(kind, revision, watch_ms(kind)) => result,
                 // The sender lives as long as the contact.
                 _ = turns.changed() => continue,
             },
--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -33,6 +33,8 @@
 /// Hosts that are told of each prompt. Beyond it a sample is told, so that the traffic of a host
 /// does not grow with the fleet.
 const MAX_TOLD: usize = 96;
+/// Shared parts from this size on are worth a fetch from another availability zone.
+const MIN_PART_TOKENS: u32 = 1_000;
 /// Beginning of the names of the hosts' objects.
 const HOST_PREFIX: &str = "host.";
 /// Pause between attempts to register.
@@ -91,6 +93,9 @@
 pub struct Peers {
     hosts: RefCell<IndexMap<String, Peer>>,
     outbox: RefCell<Vec<Reading>>,
+    /// Long shared parts that no engine was known to keep. All hosts are told, so that engines of
+    /// other availability zones fetch them.
+    new_parts: RefCell<Vec<Reading>>,
     away: RefCell<Vec<Away>>,
 }
 
@@ -103,6 +108,13 @@
         }
     }
 
+    /// Tells hosts of all availability zones of a shared part that an engine now reads.
+    pub fn tell_new_part(&self, reading: Reading) {
+        if reading.shared_tokens >= MIN_PART_TOKENS {
+            self.new_parts.borrow_mut().push(reading);
+        }
+    }
+
     /// Tells the other hosts that an engine takes no requests.
     pub fn tell_away(&self, away: Away) {
         self.away.borrow_mut().push(away);
@@ -144,6 +156,44 @@
 }
 
 fn send<B>(host: &Host<B>, socket: &UdpSocket) {
+    send_news(host, socket);
+    send_new_parts(host, socket);
+}
+
+/// Tells the hosts of other zones; those of the own zone learn of the same prompts as news.
+fn send_new_parts<B>(host: &Host<B>, socket: &UdpSocket) {
+    let readings = std::mem::take(&mut *host.peers.new_parts.borrow_mut());
+    let zone = &host.deployment.zone;
+    if readings.is_empty() || !host.directory.borrow().is_local(zone) {
+        return;
+    }
+    let datagram = Datagram {
+        sender: hash_of(&host.deployment.name),
+        readings,
+        streams: Vec::new(),
+        away: Vec::new(),
+    };
+    let hosts = host.peers.hosts.borrow();
+    let elsewhere = hosts.values().filter(|peer| peer.zone != *zone);
+    let addresses = elsewhere.map(|peer| peer.address);
+    send_to(socket, &datagram, addresses.take(MAX_TOLD));
+}
+
+fn send_to(
+    socket: &UdpSocket,
+    datagram: &Datagram,
+    addresses: impl IntoIterator<Item = SocketAddr>,
+) {
+    let Ok(bytes) = bincode::serde::encode_to_vec(datagram, bincode::config::standard()) else {
+        return;
+    };
+    for address in addresses {
+        // A datagram that cannot be sent is as good as one that is lost.
+        let _ = socket.try_send_to(&bytes, address);
+    }
+}
+
+fn send_news<B>(host: &Host<B>, socket: &UdpSocket) {
     let readings = std::mem::take(&mut *host.peers.outbox.borrow_mut());
     let away = std::mem::take(&mut *host.peers.away.borrow_mut());
     let streams = own_streams(host);
@@ -156,13 +206,7 @@
         streams,
         away,
     };
-    let Ok(bytes) = bincode::serde::encode_to_vec(&datagram, bincode::config::standard()) else {
-        return;
-    };
-    for address in told(host) {
-        // A datagram that cannot be sent is as good as one that is lost.
-        let _ = socket.try_send_to(&bytes, address);
-    }
+    send_to(socket, &datagram, told(host));
 }
 
 /// Generations on all engines that have had one since the host last told of them.
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -269,6 +269,19 @@
     outcome
 }
 
+/// Whether an engine is known to keep the parts of the prompt that other requests share.
+fn is_shared_part_kept<B>(host: &Host<B>, chain: &[(u64, u32)]) -> bool {
+    let Some(shared) = chain.len().checked_sub(2).map(|at| &chain[..=at]) else {
+        return true;
+    };
+    let (_, tokens) = shared[shared.len() - 1];
+    let now_ms = host.now_ms();
+    let mut directory = host.directory.borrow_mut();
+    directory
+        .iter_mut()
+        .any(|back_end| back_end.load.kept_tokens(shared, now_ms) == tokens)
+}
+
 /// Puts the reading of the prompt on the engine's load; returns the work before it.
 fn begin_reading<B: BackEnds>(job: &Job<B>, key: BackEndKey, read_ms: f64) -> f64 {
     let host = &job.host;
@@ -276,7 +289,11 @@
     let chain = job.request.prompt.as_ref().map(choose::chain);
     let chain = chain.unwrap_or_default();
     host.demand.borrow_mut().read(read_ms);
-    host.tell(peers::reading(host, key, read_ms, &chain));
+    let reading = peers::reading(host, key, read_ms, &chain);
+    if !is_shared_part_kept(host, &chain) {
+        host.peers.tell_new_part(reading);
+    }
+    host.tell(reading);
     let mut directory = host.directory.borrow_mut();
     let load = &mut directory.get_mut(key).load;
     let pending_ms = load.pending_ms(now_ms);
