Announce changing engines to hosts of all availability zones

Change: announcements go to all hosts; a back end that refused a request gets no others for 0.15 s while there are any.

--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -19,6 +19,8 @@
 pub const RELIST_MS: u64 = 1_800;
 /// Shortest absence of the store in which entries may have lapsed.
 const LAPSE_MS: u64 = 1_000;
+/// Time for which a back end that refused a request gets no others while there are any.
+const REFUSED_MS: u64 = 150;
 /// Back ends of an availability zone that serve its callers about as well as all together.
 const LOCAL_BACK_ENDS: usize = 14;
 /// Time for which a back end that was removed may still be used when no other is there. It is below
@@ -89,6 +91,11 @@
         self.away_until_ms = until_ms;
     }
 
+    /// Records that the engine refused a request as full or changing; others follow after a moment.
+    pub fn refused(&mut self, now_ms: u64) {
+        self.away_until_ms = self.away_until_ms.max(now_ms + REFUSED_MS);
+    }
+
     /// Whether the engine takes no requests at present.
     pub fn is_away(&self, now_ms: u64) -> bool {
         now_ms < self.away_until_ms
--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -156,27 +156,29 @@
 }
 
 fn send<B>(host: &Host<B>, socket: &UdpSocket) {
-    send_news(host, socket);
-    send_new_parts(host, socket);
+    let away = std::mem::take(&mut *host.peers.away.borrow_mut());
+    send_elsewhere(host, socket, &away);
+    send_news(host, socket, away);
 }
 
-/// Tells the hosts of other zones; those of the own zone learn of the same prompts as news.
-fn send_new_parts<B>(host: &Host<B>, socket: &UdpSocket) {
+/// Tells hosts of other availability zones what concerns all: engines that take no requests, and new
+/// shared parts. The hosts that get the news learn of it from them.
+fn send_elsewhere<B>(host: &Host<B>, socket: &UdpSocket, away: &[Away]) {
     let readings = std::mem::take(&mut *host.peers.new_parts.borrow_mut());
     let zone = &host.deployment.zone;
-    if readings.is_empty() || !host.directory.borrow().is_local(zone) {
+    let is_empty = readings.is_empty() && away.is_empty();
+    if is_empty || !host.directory.borrow().is_local(zone) {
         return;
     }
     let datagram = Datagram {
         sender: hash_of(&host.deployment.name),
         readings,
         streams: Vec::new(),
-        away: Vec::new(),
+        away: away.to_vec(),
     };
     let hosts = host.peers.hosts.borrow();
     let elsewhere = hosts.values().filter(|peer| peer.zone != *zone);
-    let addresses = elsewhere.map(|peer| peer.address);
-    send_to(socket, &datagram, addresses.take(MAX_TOLD));
+    send_to(socket, &datagram, elsewhere.map(|peer| peer.address));
 }
 
 fn send_to(
@@ -193,9 +195,8 @@
     }
 }
 
-fn send_news<B>(host: &Host<B>, socket: &UdpSocket) {
+fn send_news<B>(host: &Host<B>, socket: &UdpSocket, away: Vec<Away>) {
     let readings = std::mem::take(&mut *host.peers.outbox.borrow_mut());
-    let away = std::mem::take(&mut *host.peers.away.borrow_mut());
     let streams = own_streams(host);
     if readings.is_empty() && streams.is_empty() && away.is_empty() {
         return;
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -186,12 +186,13 @@
         self.tried.borrow_mut().push(key);
         {
             let mut directory = host.directory.borrow_mut();
-            let fitness = &mut directory.get_mut(key).fitness;
+            let back_end = directory.get_mut(key);
+            let fitness = &mut back_end.fitness;
             match fault {
                 CallFault::NotSent(_) | CallFault::NotRun { status: 421 } => {
                     fitness.unreachable(now_ms);
                 }
-                CallFault::NotRun { .. } => {}
+                CallFault::NotRun { .. } => back_end.refused(now_ms),
                 CallFault::Broken(_) | CallFault::Crossed => fitness.broke(),
             }
         }
--- /dev/null
+++ b/crates/yucca-serve/tests/peers.rs
@@ -0,0 +1,106 @@
+//! Guards who learns what by datagrams, over loopback sockets.
+
+mod common;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use common::{FakeBackEnds, FakeStore, deployment, entry};
+use serde_json::json;
+use tokio::net::UdpSocket;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
+use yucca_serve::choose::hash_of;
+use yucca_serve::directory::BackEndEntry;
+use yucca_serve::follow::StoreContact;
+use yucca_serve::host::{Deployment, Host};
+use yucca_serve::peers::{Away, exchange, follow_hosts, reading};
+use yucca_serve::ports::Kind;
+use yuccacove::prompt_placement::Phase;
+
+const LIMIT: Duration = Duration::from_secs(10);
+/// Enough back ends in one zone for its hosts to keep their knowledge to themselves.
+const BACK_ENDS: u8 = 20;
+
+async fn spawn_host(name: &str, zone: &str, store: &Rc<FakeStore>) -> Rc<Host<FakeBackEnds>> {
+    let own = Deployment {
+        name: name.to_owned(),
+        zone: zone.to_owned(),
+        ..deployment()
+    };
+    let host = Rc::new(Host::new(own, FakeBackEnds::default()));
+    for number in 0..BACK_ENDS {
+        let zone = if number % 2 == 0 { "a" } else { "b" };
+        let entry = BackEndEntry {
+            zone: zone.to_owned(),
+            ..entry("model", number, Phase::Prefill)
+        };
+        let id = format!("i-{number}");
+        host.directory.borrow_mut().listed(&id, 1, entry, 0);
+    }
+    for number in BACK_ENDS..2 * BACK_ENDS {
+        let id = format!("i-{number}");
+        let entry = entry("model", number, Phase::Decode);
+        host.directory.borrow_mut().listed(&id, 1, entry, 0);
+    }
+    let socket = UdpSocket::bind("127.0.0.1:0").await.expect("a socket");
+    let address = socket.local_addr().expect("an address").to_string();
+    store.put(
+        Kind::Hosts,
+        &format!("host.{name}"),
+        Some(json!({ "address": address, "zone": zone })),
+    );
+    spawn_local(exchange(Rc::clone(&host), socket));
+    host
+}
+
+async fn until(is_true: impl Fn() -> bool) {
+    let wait = async {
+        while !is_true() {
+            sleep(Duration::from_millis(2)).await;
+        }
+    };
+    timeout(LIMIT, wait).await.expect("it becomes true");
+}
+
+fn pending_ms(host: &Host<FakeBackEnds>) -> f64 {
+    let directory = host.directory.borrow();
+    let key = directory.find("i-0").expect("listed");
+    directory.get(key).load.pending_ms(host.now_ms())
+}
+
+fn is_away(host: &Host<FakeBackEnds>) -> bool {
+    let directory = host.directory.borrow();
+    let key = directory.find("i-0").expect("listed");
+    directory.get(key).is_away(host.now_ms())
+}
+
+/// Found on the users' bench: hosts of other zones were not told that an engine changes its phase, and
+/// sent to it 700 times in four seconds.
+#[test]
+fn exchange_away_reaches_all_zones() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let store = FakeStore::new();
+        let sender = spawn_host("entry-1", "a", &store).await;
+        let near = spawn_host("entry-2", "a", &store).await;
+        let far = spawn_host("entry-3", "b", &store).await;
+        let contact = Rc::new(StoreContact::default());
+        spawn_local(follow_hosts(Rc::clone(&sender), Rc::clone(&store), contact));
+        until(|| sender.peers.count() == 2).await;
+        let key = sender.directory.borrow().find("i-0").expect("listed");
+        // A short prompt concerns the own zone only.
+        sender.tell(reading(&sender, key, 5_000.0, &[]));
+        until(|| pending_ms(&near) > 0.0).await;
+        sender.peers.tell_away(Away {
+            engine: hash_of("i-0"),
+            for_ms: 5_000,
+        });
+        sender.news.notify_one();
+        until(|| is_away(&near) && is_away(&far)).await;
+        assert!(pending_ms(&far) == 0.0, "told of a prompt of another zone");
+    });
+}
