Split the start of a generation into its steps

Cause: one function of 75 lines held the choice, the wait, the read and the run; what was remembered of kept parts held a number that nothing used. Change: four short functions, a module of its own for the hash; no decision changes. Measured: tests of yucca-serve pass.

--- a/crates/yucca-serve/src/choose.rs
+++ b/crates/yucca-serve/src/choose.rs
@@ -1,10 +1,9 @@
 //! Which back end gets a request: the known loads and zones, put before the pure choice.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
-
 use yuccacove::prompt_placement::{self, Choice, EngineView, Phase, Placement};
 
 use crate::directory::{BackEndKey, Directory};
+use crate::hash::hash_of;
 use crate::request::{Prompt, Request};
 
 /// Delay of a plain call to another availability zone, in requests in flight.
@@ -240,10 +239,3 @@
 fn rendezvous(directory: &Directory, key: BackEndKey, hash: u64) -> u64 {
     hash_of((hash, &*directory.get(key).target.id))
 }
-
-/// Hash that is the same in all processes of one build.
-pub fn hash_of(value: impl Hash) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    value.hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -11,7 +11,7 @@
 use yuccacove::fitness::Fitness;
 use yuccacove::prompt_placement::Phase;
 
-use crate::choose::hash_of;
+use crate::hash::hash_of;
 use crate::loads::Load;
 use crate::ports::Target;
 
--- /dev/null
+++ b/crates/yucca-serve/src/hash.rs
@@ -0,0 +1,10 @@
+//! Hashes that all hosts agree on.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// Hash that is the same in all processes of one build.
+pub fn hash_of(value: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod directory;
 pub mod events;
 pub mod follow;
+pub mod hash;
 pub mod host;
 pub mod loads;
 pub mod metrics;
--- a/crates/yucca-serve/src/loads.rs
+++ b/crates/yucca-serve/src/loads.rs
@@ -38,7 +38,8 @@
     peer_streams: IndexMap<u64, PeerStreams>,
     reading_until_ms: f64,
     stalled_until_ms: f64,
-    kept: IndexMap<u64, Kept>,
+    /// Time of the last use of each leading run of parts, by its hash.
+    kept_used_ms: IndexMap<u64, u64>,
 }
 
 /// Generations of another host, as it last told.
@@ -49,12 +50,6 @@
     told_ms: u64,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Kept {
-    tokens: u32,
-    used_ms: u64,
-}
-
 impl Load {
     /// Puts a request of this host on the load.
     pub fn add(&mut self, share: Share) {
@@ -126,40 +121,35 @@
     /// Tokens at the beginning of a prompt that the engine is expected to keep. `chain` holds, for
     /// each leading run of parts, its hash and its tokens.
     pub fn kept_tokens(&self, chain: &[(u64, u32)], now_ms: u64) -> u32 {
-        let known = |hash| self.kept.get(hash);
+        let is_kept = |hash| {
+            let used_ms = self.kept_used_ms.get(hash);
+            used_ms.is_some_and(|used_ms| now_ms < used_ms + KEPT_MS)
+        };
         chain
             .iter()
             .rev()
-            .find(|(hash, _)| known(hash).is_some_and(|k| now_ms < k.used_ms + KEPT_MS))
+            .find(|(hash, _)| is_kept(hash))
             .map_or(0, |(_, tokens)| *tokens)
     }
 
     /// Records that the engine read a prompt.
     pub fn keep(&mut self, chain: &[(u64, u32)], now_ms: u64) {
-        for (hash, tokens) in chain {
-            let kept = Kept {
-                tokens: *tokens,
-                used_ms: now_ms,
-            };
-            self.kept.insert(*hash, kept);
+        for (hash, _) in chain {
+            self.kept_used_ms.insert(*hash, now_ms);
         }
-        if self.kept.len() > MAX_KEPT {
-            self.kept.retain(|_, k| now_ms < k.used_ms + KEPT_MS);
-            let excess = self.kept.len().saturating_sub(MAX_KEPT);
-            self.kept.drain(..excess);
+        if self.kept_used_ms.len() > MAX_KEPT {
+            self.kept_used_ms
+                .retain(|_, used_ms| now_ms < *used_ms + KEPT_MS);
+            let excess = self.kept_used_ms.len().saturating_sub(MAX_KEPT);
+            self.kept_used_ms.drain(..excess);
         }
     }
 
     /// Forgets what an earlier incarnation did. Requests of it that still run here end on their own.
     pub fn restarted(&mut self) {
         self.reading_until_ms = 0.0;
-        self.kept.clear();
+        self.kept_used_ms.clear();
         self.stalled_until_ms = 0.0;
         self.peer_streams.clear();
     }
-
-    /// Sum of the tokens of all kept parts.
-    pub fn kept_total(&self) -> u64 {
-        self.kept.values().map(|k| u64::from(k.tokens)).sum()
-    }
 }
--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -16,9 +16,9 @@
 use yucca_io::log;
 use yuccacove::event::Event;
 
-use crate::choose::hash_of;
 use crate::directory::BackEndKey;
 use crate::follow::{StoreContact, follow_with};
+use crate::hash::hash_of;
 use crate::host::Host;
 use crate::ports::{Kind, Object, ObjectStore, StoreFault};
 
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -9,9 +9,9 @@
 use yuccacove::event::Event;
 use yuccacove::send_limit::{Cost, SendLimit};
 
-use crate::choose::hash_of;
 use crate::config::{EngineSpec, Route, RouteKind};
 use crate::directory::BackEndKey;
+use crate::hash::hash_of;
 use crate::host::Host;
 use crate::plain;
 use crate::ports::{BackEnds, Call, CallFault};
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -87,71 +87,103 @@
     job: &Rc<Job<B>>,
     resume_after: Option<u64>,
 ) -> Result<Opened<B>, Box<Reply>> {
-    let host = &job.host;
+    loop {
+        let choice = choose_admitted(job).await?;
+        let Some(lease) = read_apart(job, &choice).await? else {
+            continue;
+        };
+        if let Some(opened) = run_once(job, &choice, lease, resume_after).await? {
+            return Ok(opened);
+        }
+    }
+}
+
+/// The engines for the request, once there is room for it.
+async fn choose_admitted<B: BackEnds>(job: &Job<B>) -> Result<EngineChoice, Box<Reply>> {
     loop {
         let Some(choice) = choose_engines(job) else {
             return Err(Box::new(job.refuse(Code::NoBackend)));
         };
         match admit(job, &choice) {
-            Verdict::Admit => {}
-            Verdict::Hold => {
-                sleep(HOLD_INTERVAL).await;
-                continue;
-            }
+            Verdict::Admit => return Ok(choice),
+            Verdict::Hold => sleep(HOLD_INTERVAL).await,
             Verdict::Refuse { retry_after_ms } => {
                 let reply = job.refuse_until(Code::DeadlineUnreachable, retry_after_ms);
                 return Err(Box::new(reply));
             }
         }
-        let mut lease = PromptLease {
-            host: Rc::clone(host),
-            handle: None,
-        };
-        if let Some(prefill) = choice.prefill {
-            if !job.begin_read() {
+    }
+}
+
+/// Has the prompt read by another engine if that was chosen. `None` when the engines are to be chosen
+/// again.
+async fn read_apart<B: BackEnds>(
+    job: &Rc<Job<B>>,
+    choice: &EngineChoice,
+) -> Result<Option<PromptLease<B>>, Box<Reply>> {
+    let mut lease = PromptLease {
+        host: Rc::clone(&job.host),
+        handle: None,
+    };
+    let Some(prefill) = choice.prefill else {
+        return Ok(Some(lease));
+    };
+    if !job.begin_read() {
+        return Err(Box::new(job.refuse(Code::NoBackend)));
+    }
+    match read_prompt(job, prefill, choice).await {
+        Ok(handle) => {
+            lease.handle = Some(handle);
+            Ok(Some(lease))
+        }
+        Err(fault) => {
+            job.failed(prefill, Stage::Read, &fault, job.run_state());
+            if job.sends().run().is_none() {
                 return Err(Box::new(job.refuse(Code::NoBackend)));
             }
-            match read_prompt(job, prefill, &choice).await {
-                Ok(handle) => lease.handle = Some(handle),
-                Err(fault) => {
-                    job.failed(prefill, Stage::Read, &fault, job.run_state());
-                    if job.sends().run().is_none() {
-                        return Err(Box::new(job.refuse(Code::NoBackend)));
-                    }
-                    continue;
-                }
-            }
+            Ok(None)
         }
-        let decode = match lease.handle {
-            Some(_) => choose_decode(job),
-            None => Some(choice.decode),
-        };
-        let Some(key) = decode else {
-            return Err(Box::new(job.refuse(Code::NoBackend)));
-        };
-        let before = job.sends();
-        if !job.begin_run() {
-            return Err(Box::new(job.refuse(Code::BackendFailed)));
+    }
+}
+
+/// Starts the generation. `None` when it may be tried again.
+async fn run_once<B: BackEnds>(
+    job: &Rc<Job<B>>,
+    choice: &EngineChoice,
+    mut lease: PromptLease<B>,
+    resume_after: Option<u64>,
+) -> Result<Option<Opened<B>>, Box<Reply>> {
+    let decode = match lease.handle {
+        Some(_) => choose_decode(job),
+        None => Some(choice.decode),
+    };
+    let Some(key) = decode else {
+        return Err(Box::new(job.refuse(Code::NoBackend)));
+    };
+    let before = job.sends();
+    if !job.begin_run() {
+        return Err(Box::new(job.refuse(Code::BackendFailed)));
+    }
+    let tokens = job.request.prompt.as_ref().map_or(0, |p| p.tokens);
+    let in_flight = InFlight::start(&job.host, key, Share::Generation { tokens });
+    let state = job.run_state();
+    match start_run(job, key, choice, &lease, resume_after).await {
+        Ok(answer) => {
+            lease.handle = None;
+            Ok(Some(Opened {
+                key,
+                answer,
+                _in_flight: in_flight,
+            }))
         }
-        let tokens = job.request.prompt.as_ref().map_or(0, |p| p.tokens);
-        let in_flight = InFlight::start(host, key, Share::Generation { tokens });
-        let state = job.run_state();
-        match start_run(job, key, &choice, &lease, resume_after).await {
-            Ok(answer) => {
-                lease.handle = None;
-                return Ok(Opened {
-                    key,
-                    answer,
-                    _in_flight: in_flight,
-                });
+        Err(fault) => {
+            if matches!(fault, CallFault::NotSent(_)) {
+                job.unsend(before);
             }
-            Err(fault) => {
-                if matches!(fault, CallFault::NotSent(_)) {
-                    job.unsend(before);
-                }
-                if !job.failed(key, Stage::Run, &fault, state) {
-                    return Err(Box::new(job.refuse(Code::BackendUnreachable)));
-                }
+            if job.failed(key, Stage::Run, &fault, state) {
+                Ok(None)
+            } else {
+                Err(Box::new(job.refuse(Code::BackendUnreachable)))
             }
         }
     }
