Derive an engine's slots from its time between tokens

Ruled out: the engines' queues (no wait in their reports) and the entry's limits (10,000 each).

slot_limit forecasts the largest batch that meets the strictest target of the service's entries from the recent times between tokens and the engines' reports; a host takes unused slots of the others by its part of them, so that all hosts together stay within the total. The counts over the catalogue that each request made are made once for each change of it.

--- a/crates/yucca-entry/src/admit.rs
+++ b/crates/yucca-entry/src/admit.rs
@@ -11,10 +11,6 @@
 
 use crate::problem::Problem;
 
-/// Requests that all hosts together let an engine run at once. With 32 and a prefill under way a
-/// step of the engine stand-ins takes 61.7 ms, above the 61 ms between tokens, so that a flood of
-/// background work made urgent answers late; work that waits in the hosts' queues is sorted by rank.
-pub const ENGINE_SLOTS: usize = 16;
 /// Calls that one server of a plain service takes at a time.
 pub const SERVER_SLOTS: usize = 64;
 /// Weight of a finished request in the estimates of its entry.
@@ -153,6 +149,12 @@
         inner.queues.iter().map(load).collect()
     }
 
+    /// Running requests of a service.
+    pub fn running(&self, service: &str) -> usize {
+        let inner = self.lock();
+        inner.queues.get(service).map_or(0, |q| q.queue.running())
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/yucca-entry/src/chat_run.rs
+++ b/crates/yucca-entry/src/chat_run.rs
@@ -11,7 +11,7 @@
 use yuccacove::routing::PrefixHash;
 use yuccacove::suspect::Fingerprint;
 
-use crate::admit::{Ask, ENGINE_SLOTS, Slot};
+use crate::admit::{Ask, Slot};
 use crate::backend_fault::Fault;
 use crate::chat::{ChatEvent, ChatJob};
 use crate::choose;
@@ -191,7 +191,7 @@
             entry_name: &self.job.request.entry,
             entry: &self.job.entry,
             service,
-            slots: self.host.slots(&catalogue, need.service, ENGINE_SLOTS),
+            slots: self.host.engine_slots(&catalogue, need.service),
             output_tokens: need.output_tokens,
         };
         self.host.admission.acquire(&ask).await
--- a/crates/yucca-entry/src/dispatch.rs
+++ b/crates/yucca-entry/src/dispatch.rs
@@ -11,7 +11,7 @@
 use yuccacove::catalogue::Class;
 use yuccacove::code::{Code, Outcome};
 
-use crate::admit::{Ask, SERVER_SLOTS};
+use crate::admit::Ask;
 use crate::answer::{Answer, set_header};
 use crate::chat::{self, ChatJob};
 use crate::chat_answer::{self, AnswerNames};
@@ -164,7 +164,7 @@
         entry_name: name,
         entry,
         service,
-        slots: host.slots(&catalogue, &entry.service, SERVER_SLOTS),
+        slots: host.server_slots(&catalogue, &entry.service),
         output_tokens: 0,
     };
     let logged = |problem| refused(host, request_id, name, unclaimed(parts, problem));
--- a/crates/yucca-entry/src/fleet.rs
+++ b/crates/yucca-entry/src/fleet.rs
@@ -11,6 +11,7 @@
 use yuccacove::routing::{
     Candidate, Dispatch, EngineKey, LoadReport, PrefixHash, Request, Router, RoutingPolicy,
 };
+use yuccacove::slot_limit::{self, PoolLoad, START_ENGINE_SLOTS};
 
 use crate::fleet_state::{FleetState, log_transition};
 use crate::probe::EngineStatus;
@@ -83,9 +84,11 @@
                 largest_pool: 0,
                 router: Router::new(policy, host, zone),
                 seen: None,
+                services: HashMap::new(),
                 engines: IndexMap::new(),
                 health: IndexMap::new(),
                 pools: HashMap::new(),
+                gaps: HashMap::new(),
             }),
         }
     }
@@ -125,6 +128,8 @@
             fleet: Arc::clone(self),
             dispatch: Some(dispatch),
             charge: Some(charge),
+            service: need.service.to_owned(),
+            last_token_ms: None,
         }
     }
 
@@ -190,15 +195,12 @@
         let now_ms = boot_ms();
         let mut inner = self.lock();
         inner.sync(catalogue);
+        let active = inner.summary(service).active;
         let is_active = |object: &Object| match object {
-            Object::Engine(e) => e.service == service && e.admin == Admin::Active,
-            Object::Server(s) => s.service == service && s.admin == Admin::Active,
+            Object::Engine(e) => e.admin == Admin::Active,
+            Object::Server(s) => s.admin == Admin::Active,
             _ => false,
         };
-        let active = catalogue
-            .iter()
-            .filter(|(_, _, object)| object.is_some_and(is_active))
-            .count();
         let seen: Vec<f64> = inner
             .health
             .iter()
@@ -209,6 +211,34 @@
         (active * usable).div_ceil(seen.len().max(1))
     }
 
+    /// Requests that this host may have at once on the engines of a service, of which it has
+    /// `running_here`; 0 when no engine takes work.
+    pub fn engine_slots(
+        &self,
+        catalogue: &Arc<Catalogue>,
+        service: &str,
+        running_here: usize,
+    ) -> usize {
+        let engines = self.serving(catalogue, service);
+        let now_ms = boot_ms();
+        let mut inner = self.lock();
+        let load = PoolLoad {
+            engines,
+            hosts: inner.hosts,
+            running: inner.reported_running(service, engines),
+            running_here,
+        };
+        let gap_ms = inner
+            .gaps
+            .get_mut(service)
+            .and_then(|gaps| gaps.high_ms(now_ms));
+        let target_ms = inner.summary(service).between_tokens_ms;
+        let per_engine = target_ms.map_or(START_ENGINE_SLOTS, |target_ms| {
+            slot_limit::engine_slots(&load, gap_ms, target_ms)
+        });
+        slot_limit::host_slots(&load, per_engine)
+    }
+
     /// Names and addresses of the engines that this host works with.
     pub fn engines(&self, catalogue: &Arc<Catalogue>) -> Vec<(String, SocketAddr)> {
         let mut inner = self.lock();
@@ -252,6 +282,8 @@
     fleet: Arc<Fleet>,
     dispatch: Option<Dispatch>,
     charge: Option<ChatCharge>,
+    service: String,
+    last_token_ms: Option<u64>,
 }
 
 impl EngineWork {
@@ -259,9 +291,12 @@
     pub fn token(&mut self) {
         let now_ms = boot_ms();
         if let Some(dispatch) = &mut self.dispatch {
-            let router = &mut self.fleet.lock().router;
-            router.first_token(dispatch, now_ms);
-            router.generated(dispatch, 1);
+            let mut inner = self.fleet.lock();
+            inner.router.first_token(dispatch, now_ms);
+            inner.router.generated(dispatch, 1);
+            if let Some(last_ms) = self.last_token_ms.replace(now_ms) {
+                inner.record_gap(&self.service, now_ms.saturating_sub(last_ms), now_ms);
+            }
         }
         if let (Some(charge), Some(dispatch)) = (&mut self.charge, &self.dispatch) {
             charge.progress(|| dispatch.busy(now_ms));
--- a/crates/yucca-entry/src/fleet_state.rs
+++ b/crates/yucca-entry/src/fleet_state.rs
@@ -11,6 +11,7 @@
 use yuccacove::event::Event;
 use yuccacove::health::{BackendKey, Pool, Transition};
 use yuccacove::routing::{Candidate, EngineKey, EngineState, Router};
+use yuccacove::slot_limit::TokenGaps;
 use yuccacove::subset::{self, SUBSET_ENGINES};
 
 use crate::fleet::{ChosenEngine, Need, request};
@@ -31,6 +32,15 @@
     pub(crate) address: SocketAddr,
 }
 
+/// What the catalogue says of a service, summed over its objects.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ServiceSummary {
+    /// Back ends that the operators let take work.
+    pub(crate) active: usize,
+    /// The strictest target between tokens of its entries; `None` without entries.
+    pub(crate) between_tokens_ms: Option<u64>,
+}
+
 /// All that a host knows of the back ends.
 pub struct FleetState {
     /// Position of this host in the settings.
@@ -40,10 +50,14 @@
     pub(crate) largest_pool: usize,
     pub(crate) router: Router,
     pub(crate) seen: Option<Arc<Catalogue>>,
+    /// Of the catalogue that was seen last.
+    pub(crate) services: HashMap<String, ServiceSummary>,
     pub(crate) engines: IndexMap<String, EngineSlot>,
     /// By catalogue key, engines and servers.
     pub(crate) health: IndexMap<String, Health>,
     pub(crate) pools: HashMap<String, Pool>,
+    /// Recent times between tokens by service.
+    pub(crate) gaps: HashMap<String, TokenGaps>,
 }
 
 impl FleetState {
@@ -57,6 +71,7 @@
             return;
         }
         self.seen = Some(Arc::clone(catalogue));
+        self.services = summarize(catalogue);
         let mut present: HashMap<String, (String, SocketAddr)> = HashMap::new();
         let mut by_service: HashMap<&str, Vec<(&str, SocketAddr)>> = HashMap::new();
         for (name, engine) in catalogue.engines() {
@@ -171,6 +186,33 @@
         }
     }
 
+    /// What the catalogue says of a service.
+    pub(crate) fn summary(&self, service: &str) -> ServiceSummary {
+        self.services.get(service).copied().unwrap_or_default()
+    }
+
+    /// Requests of all hosts on the service's `engines` engines. The engines that this host works
+    /// with stand for the others.
+    pub(crate) fn reported_running(&self, service: &str, engines: usize) -> usize {
+        let of_service = self.engines.values().filter(|s| s.state.service == service);
+        let (mut requests, mut seen) = (0, 0);
+        for report in of_service.filter_map(|slot| slot.report.as_ref()) {
+            requests += usize::try_from(report.running + report.waiting).unwrap_or(usize::MAX);
+            seen += 1;
+        }
+        (requests * engines).div_ceil(seen.max(1))
+    }
+
+    /// Adds a time between two tokens of an answer.
+    pub(crate) fn record_gap(&mut self, service: &str, gap_ms: u64, now_ms: u64) {
+        if !self.gaps.contains_key(service) {
+            self.gaps.insert(service.to_owned(), TokenGaps::new(now_ms));
+        }
+        if let Some(gaps) = self.gaps.get_mut(service) {
+            gaps.record(gap_ms, now_ms);
+        }
+    }
+
     /// During a change of the service's version, engines with the old one serve on.
     pub(crate) fn choose(
         &mut self,
@@ -243,6 +285,27 @@
     }
 }
 
+fn summarize(catalogue: &Catalogue) -> HashMap<String, ServiceSummary> {
+    let mut services: HashMap<String, ServiceSummary> = HashMap::new();
+    let active = catalogue.iter().filter_map(|(_, _, object)| match object? {
+        Object::Engine(e) if e.admin == Admin::Active => Some(&e.service),
+        Object::Server(s) if s.admin == Admin::Active => Some(&s.service),
+        _ => None,
+    });
+    for service in active {
+        services.entry(service.clone()).or_default().active += 1;
+    }
+    for (_, entry) in catalogue.entries() {
+        let shortest_ms = &mut services
+            .entry(entry.service.clone())
+            .or_default()
+            .between_tokens_ms;
+        let ms = entry.between_tokens_ms;
+        *shortest_ms = Some(shortest_ms.map_or(ms, |shortest_ms| shortest_ms.min(ms)));
+    }
+    services
+}
+
 pub(crate) fn log_transition(key: &str, transition: Option<Transition>) {
     match transition {
         None => {}
--- a/crates/yucca-entry/src/host.rs
+++ b/crates/yucca-entry/src/host.rs
@@ -10,7 +10,7 @@
 use yuccacove::catalogue::Catalogue;
 use yuccacove::retry::Budget;
 
-use crate::admit::Admission;
+use crate::admit::{Admission, SERVER_SLOTS};
 use crate::backends::Backends;
 use crate::catalogue_watch::Listed;
 use crate::claim_store::RunningAttempts;
@@ -145,10 +145,17 @@
         self.fleet.set_hosts(hosts);
     }
 
-    /// This host's part of the slots of `service`, at least one while a back end takes work.
-    pub fn slots(&self, catalogue: &Arc<Catalogue>, service: &str, per_backend: usize) -> usize {
+    /// This host's part of the slots of a model's engines, at least one while an engine takes work.
+    pub fn engine_slots(&self, catalogue: &Arc<Catalogue>, service: &str) -> usize {
+        let running_here = self.admission.running(service);
+        self.fleet.engine_slots(catalogue, service, running_here)
+    }
+
+    /// This host's part of the calls that a plain service's servers take, at least one while a
+    /// server takes work.
+    pub fn server_slots(&self, catalogue: &Arc<Catalogue>, service: &str) -> usize {
         let serving = self.fleet.serving(catalogue, service);
-        (serving * per_backend).div_ceil(self.hosts.load(Ordering::Relaxed))
+        (serving * SERVER_SLOTS).div_ceil(self.hosts.load(Ordering::Relaxed))
     }
 
     /// Whether the host holds a catalogue and serves.
--- a/crates/yucca-entry/tests/decisions.rs
+++ b/crates/yucca-entry/tests/decisions.rs
@@ -9,7 +9,7 @@
     Call, Fake, FakeStore, Step, answer, done, engine, sse_head, status_of, stream, streamed_text,
     text, token, until,
 };
-use yucca_entry::admit::ENGINE_SLOTS;
+use yuccacove::slot_limit::START_ENGINE_SLOTS as ENGINE_SLOTS;
 
 /// An engine that crashes at prompts with "poison" and comes back with another incarnation.
 async fn fragile() -> (Fake, Arc<AtomicU64>) {
--- a/src/catalogue.rs
+++ b/src/catalogue.rs
@@ -305,13 +305,17 @@
         })
     }
 
+    /// All entries with their names.
+    pub fn entries(&self) -> impl Iterator<Item = (&str, &Entry)> {
+        self.iter().filter_map(|(key, _, object)| match object {
+            Some(Object::Entry(entry)) => Some((key.strip_prefix("entry/")?, entry)),
+            _ => None,
+        })
+    }
+
     /// The plain entry with the longest path prefix that admits `method` on `path`.
     pub fn entry_for_path(&self, method: &str, path: &str) -> Option<(&str, &Entry)> {
-        self.iter()
-            .filter_map(|(key, _, object)| match object {
-                Some(Object::Entry(entry)) => Some((key.strip_prefix("entry/")?, entry)),
-                _ => None,
-            })
+        self.entries()
             .filter(|(_, entry)| entry.class != Class::Chat)
             .filter(|(_, entry)| entry.methods.iter().any(|m| m == method))
             .filter(|(_, entry)| path_matches(&entry.path_prefix, path))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod rules;
 pub mod rumour;
 pub mod send_limit;
+pub mod slot_limit;
 pub mod store;
 pub mod subset;
 pub mod suspect;
