Share the hosts' watches of the store

Two hosts of an availability zone (of the whole fleet up to 16 hosts) watch and tell the others of the changes by datagram. A host relies on them only while one was in contact with the store within 0.4 of the bound on changes and it lacks nothing that they claim to know; else it watches itself, so that nothing has to be agreed on. The pauses in which changes gather follow from the bounds in the settings, 0.3 of them, which is the 600 ms of before at 2 s.

tests/relay.rs: watching hosts killed, cut off from the store or the others, dropped history, lost datagrams: each change in force in 2 s. With freshness, the check of claims or their beginning taken out the tests fail.

--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -1,16 +1,18 @@
 //! Follows the store: the configuration and the back ends.
 
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 
 use tokio::sync::watch;
-use tokio::time::{Duration, sleep};
+use tokio::time::{Duration, Instant, sleep, timeout};
 use yucca_io::log;
 use yuccacove::event::Event;
 
 use crate::directory::Change;
 use crate::host::Host;
 use crate::ports::{Freshness, Kind, Object, ObjectStore, Objects, StoreFault};
+use crate::relay::Relay;
 
 /// Time for which a watch waits for changes. A shorter trouble of the store than [`CONTACT_MS`] can
 /// pass unnoticed and may lose a watch's answer, so that this bounds the time until it is made good.
@@ -19,11 +21,13 @@
 const SLOW_WATCH_MS: u64 = 25_000;
 /// Interval in which the store is asked whether it answers.
 const CONTACT_MS: u64 = 900;
-/// Pause between the changes of a watch and the next call, in which further changes gather. It adds
-/// to the time until a change is in force.
-const GATHER_MS: u64 = 600;
+/// Pause between the changes of a watch and the next call, in which further changes gather, as a part
+/// of the time within which a change must be in force.
+const GATHER_SHARE: f64 = 0.3;
 /// The same for the list of hosts, which nothing urgent depends on.
 const GATHER_HOSTS_MS: u64 = 1_500;
+/// Time after which a watch without an answer counts as under way.
+const UNDER_WAY_MS: u64 = 250;
 /// Pause after a failed call.
 const RETRY_MS: u64 = 150;
 /// Longest pause after failed calls in a row.
@@ -35,6 +39,9 @@
 pub struct StoreContact {
     lost: Cell<bool>,
     turns: watch::Sender<u64>,
+    /// When the latest call that was answered was made.
+    answered: Cell<Option<Instant>>,
+    interval_ms: Cell<u64>,
 }
 
 impl Default for StoreContact {
@@ -42,6 +49,8 @@
         Self {
             lost: Cell::new(false),
             turns: watch::Sender::new(0),
+            answered: Cell::new(None),
+            interval_ms: Cell::new(CONTACT_MS),
         }
     }
 }
@@ -55,6 +64,17 @@
         }
     }
 
+    /// Time since a short call was made that was answered; `None` while calls fail.
+    pub fn age_ms(&self) -> Option<u64> {
+        let answered = self.answered.get().filter(|_| !self.lost.get())?;
+        u64::try_from(answered.elapsed().as_millis()).ok()
+    }
+
+    /// Sets the interval in which the store is asked; `None` for the usual one.
+    pub fn set_interval_ms(&self, interval_ms: Option<u64>) {
+        self.interval_ms.set(interval_ms.unwrap_or(CONTACT_MS));
+    }
+
     /// Whether the last short call was not answered.
     pub fn is_lost(&self) -> bool {
         self.lost.get()
@@ -71,10 +91,12 @@
     take: impl Fn(&Object),
 ) {
     loop {
-        sleep(Duration::from_millis(CONTACT_MS)).await;
+        sleep(Duration::from_millis(contact.interval_ms.get())).await;
+        let asked = Instant::now();
         match store.read(kind, name, Freshness::MayLag).await {
             Ok(object) => {
                 contact.note(true);
+                contact.answered.set(Some(asked));
                 if let Some(object) = object {
                     take(&object);
                 }
@@ -90,7 +112,7 @@
     store: Rc<S>,
     contact: Rc<StoreContact>,
 ) {
-    follow(&*store, &contact, Kind::Config, |objects, _| {
+    let take = |objects: &Objects, _| {
         let latest = objects.objects.iter().filter(|object| !object.is_removed);
         for object in latest {
             match store.config(object) {
@@ -98,8 +120,15 @@
                 None => log::write(Event::CatalogueInvalid, &format!("name={}", object.name)),
             }
         }
-    })
-    .await;
+    };
+    let followed = Followed {
+        store: &*store,
+        contact: &contact,
+        relay: &host.relay,
+        kind: Kind::Config,
+        bound_ms: host.deployment.change_ms(),
+    };
+    followed.run(take, |_| {}).await;
 }
 
 /// Follows the back ends for as long as the process lives.
@@ -117,14 +146,17 @@
             log::write(Event::StoreBack, "");
         }
     };
-    follow_with(
-        &*store,
-        &contact,
-        Kind::BackEnds,
-        |objects, is_complete| take_back_ends(&host, &*store, objects, is_complete),
-        note_contact,
-    )
-    .await;
+    let take = |objects: &Objects, is_complete| {
+        take_back_ends(&host, &*store, objects, is_complete);
+    };
+    let followed = Followed {
+        store: &*store,
+        contact: &contact,
+        relay: &host.relay,
+        kind: Kind::BackEnds,
+        bound_ms: host.deployment.change_ms(),
+    };
+    followed.run(take, note_contact).await;
 }
 
 fn take_back_ends<B, S: ObjectStore>(
@@ -198,72 +230,104 @@
     }
 }
 
-fn gather_ms(kind: Kind) -> u64 {
-    match kind {
-        Kind::Config | Kind::BackEnds => GATHER_MS,
-        Kind::Hosts | Kind::Leases => GATHER_HOSTS_MS,
-    }
-}
-
-async fn follow<S: ObjectStore>(
-    store: &S,
-    contact: &StoreContact,
-    kind: Kind,
-    take: impl FnMut(&Objects, bool),
-) {
-    follow_with(store, contact, kind, take, |_| {}).await;
+/// A kind of objects that is followed.
+pub struct Followed<'a, S> {
+    /// Where they are kept.
+    pub store: &'a S,
+    /// Contact with the store.
+    pub contact: &'a StoreContact,
+    /// The host's part in the group that shares its watches.
+    pub relay: &'a Relay,
+    /// The kind.
+    pub kind: Kind,
+    /// Time within which a change must be in force.
+    pub bound_ms: u64,
 }
 
-/// Lists a kind, then takes its changes; lists again when the history is gone. `take` gets the
-/// objects and whether they are all of the kind, `note_contact` whether a call was answered.
-pub async fn follow_with<S: ObjectStore>(
-    store: &S,
-    contact: &StoreContact,
-    kind: Kind,
-    mut take: impl FnMut(&Objects, bool),
-    note_contact: impl Fn(bool),
-) {
-    let mut since = None;
-    let mut failures = 0;
-    let mut turns = contact.turns.subscribe();
-    loop {
-        turns.mark_unchanged();
-        let result = match since {
-            None => store.list(kind).await,
-            Some(revision) => tokio::select! {
-                result = store.watch(kind, revision, watch_ms(kind)) => result,
-                // The sender lives as long as the contact.
-                _ = turns.changed() => continue,
-            },
-        };
-        match result {
-            Ok(objects) => {
-                if failures > 1 {
-                    log::write(Event::StoreBack, &format!("kind={kind:?}"));
-                }
-                failures = 0;
-                note_contact(true);
-                take(&objects, since.is_none());
-                since = Some(since.unwrap_or(0).max(objects.revision));
-                if !objects.objects.is_empty() {
-                    sleep(Duration::from_millis(gather_ms(kind))).await;
-                }
-            }
-            Err(StoreFault::Expired) => {
-                log::write(Event::StoreHistoryLost, &format!("kind={kind:?}"));
+impl<S: ObjectStore> Followed<'_, S> {
+    /// Lists the kind, then takes its changes; lists again when the history is gone. `take` gets the
+    /// objects and whether they are all of the kind, `note_contact` whether a call was answered.
+    pub async fn run(&self, mut take: impl FnMut(&Objects, bool), note_contact: impl Fn(bool)) {
+        let mut since = None;
+        let mut failures = 0;
+        let mut turns = self.contact.turns.subscribe();
+        loop {
+            turns.mark_unchanged();
+            if let Some(revision) = since
+                && let Some(changes) = self.relay.next(self.kind, revision).await
+            {
                 note_contact(true);
-                since = None;
+                take(&changes, false);
+                since = Some(changes.revision.max(revision));
+                continue;
             }
-            Err(fault) => {
-                failures += 1;
-                // A single failure is a connection that the store closed.
-                if failures == 2 {
-                    log::write(Event::StoreLost, &format!("kind={kind:?} fault={fault:?}"));
+            let result = match since {
+                None => self.store.list(self.kind).await,
+                Some(revision) => tokio::select! {
+                    result = self.watch(revision) => result,
+                    // The sender lives as long as the contact.
+                    _ = turns.changed() => {
+                        self.relay.pause(self.kind);
+                        continue;
+                    }
+                },
+            };
+            match result {
+                Ok(objects) => {
+                    if failures > 1 {
+                        log::write(Event::StoreBack, &format!("kind={:?}", self.kind));
+                    }
+                    failures = 0;
+                    note_contact(true);
+                    take(&objects, since.is_none());
+                    match since {
+                        None => self.relay.listed(self.kind, objects.revision),
+                        Some(from) => self.relay.watched(self.kind, from, &objects),
+                    }
+                    since = Some(since.unwrap_or(0).max(objects.revision));
+                    if !objects.objects.is_empty() {
+                        sleep(self.gather()).await;
+                    }
+                }
+                Err(StoreFault::Expired) => {
+                    log::write(Event::StoreHistoryLost, &format!("kind={:?}", self.kind));
+                    self.relay.pause(self.kind);
+                    note_contact(true);
+                    since = None;
+                }
+                Err(fault) => {
+                    failures += 1;
+                    self.relay.pause(self.kind);
+                    // A single failure is a connection that the store closed.
+                    if failures == 2 {
+                        let fields = format!("kind={:?} fault={fault:?}", self.kind);
+                        log::write(Event::StoreLost, &fields);
+                    }
+                    note_contact(false);
+                    let pause_ms = (RETRY_MS * failures).min(MAX_RETRY_MS);
+                    sleep(Duration::from_millis(pause_ms)).await;
                 }
-                note_contact(false);
-                let pause_ms = (RETRY_MS * failures).min(MAX_RETRY_MS);
-                sleep(Duration::from_millis(pause_ms)).await;
             }
         }
     }
+
+    /// Watches for changes after `revision`.
+    async fn watch(&self, revision: u64) -> Result<Objects, StoreFault> {
+        let answer = self.store.watch(self.kind, revision, watch_ms(self.kind));
+        let mut answer = pin!(answer);
+        let under_way = Duration::from_millis(UNDER_WAY_MS);
+        if let Ok(result) = timeout(under_way, answer.as_mut()).await {
+            return result;
+        }
+        self.relay.resume(self.kind, revision);
+        answer.await
+    }
+
+    fn gather(&self) -> Duration {
+        let ms = match self.kind {
+            Kind::Config | Kind::BackEnds => (self.bound_ms as f64 * GATHER_SHARE) as u64,
+            Kind::Hosts | Kind::Leases => GATHER_HOSTS_MS,
+        };
+        Duration::from_millis(ms)
+    }
 }
--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -19,6 +19,7 @@
 use crate::metrics::Metrics;
 use crate::peers::{Peers, Reading};
 use crate::ports::Target;
+use crate::relay::Relay;
 
 /// Part of the requests of a service that hosts send again, below what the deployment allows as
 /// hosts count their windows apart.
@@ -37,12 +38,21 @@
     pub retry_slack: f64,
     /// Time for which leaving back ends go on serving.
     pub drain_ms: u64,
+    /// Time within which a new configuration is in force on all hosts.
+    pub config_ms: u64,
     /// Time within which a planned stop ends.
     pub grace_ms: u64,
     /// Shortest time for which a lease holds against other holders.
     pub lease_ms: u64,
 }
 
+impl Deployment {
+    /// Time within which any change of the store is in force on all hosts.
+    pub fn change_ms(&self) -> u64 {
+        self.drain_ms.min(self.config_ms)
+    }
+}
+
 /// State shared by all requests of a host.
 #[derive(Debug)]
 pub struct Host<B> {
@@ -54,6 +64,8 @@
     pub directory: RefCell<Directory>,
     /// The other hosts.
     pub peers: Peers,
+    /// Its part in the group of hosts that share their watches of the store.
+    pub relay: Relay,
     /// Notified when there is something to tell the other hosts.
     pub news: Notify,
     /// Demand of the model engines, of all hosts.
@@ -72,8 +84,10 @@
 impl<B> Host<B> {
     /// A host that knows no configuration yet.
     pub fn new(deployment: Deployment, back_ends: B) -> Self {
+        let relay = Relay::new(&deployment.name, deployment.change_ms());
         Self {
             deployment,
+            relay,
             back_ends,
             directory: RefCell::default(),
             peers: Peers::default(),
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod peers;
 pub mod plain;
 pub mod ports;
+pub mod relay;
 pub mod reply;
 pub mod request;
 pub mod roles;
--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -17,10 +17,11 @@
 use yuccacove::event::Event;
 
 use crate::directory::BackEndKey;
-use crate::follow::{StoreContact, follow_with};
+use crate::follow::{Followed, StoreContact};
 use crate::hash::hash_of;
 use crate::host::Host;
-use crate::ports::{Kind, Object, ObjectStore, StoreFault};
+use crate::ports::{Kind, Object, ObjectStore, Objects, StoreFault};
+use crate::relay::StoreNews;
 
 /// Interval in which prompts are collected before they are told.
 const SEND_INTERVAL: Duration = Duration::from_millis(10);
@@ -35,6 +36,9 @@
 const MAX_TOLD: usize = 96;
 /// Shared parts from this size on are worth a fetch from another availability zone.
 const MIN_PART_TOKENS: u32 = 1_000;
+/// Up to this many hosts share their watches of the store as one group. In a larger fleet the hosts
+/// of each availability zone do, so that their datagrams stay within it.
+const SMALL_FLEET: usize = 16;
 /// Beginning of the names of the hosts' objects.
 const HOST_PREFIX: &str = "host.";
 /// Pause between attempts to register.
@@ -64,7 +68,14 @@
 }
 
 #[derive(Debug, Serialize, Deserialize)]
-struct Datagram {
+enum Datagram {
+    Load(LoadNews),
+    Store(StoreNews),
+}
+
+/// What the sender knows of the engines' work.
+#[derive(Debug, Serialize, Deserialize)]
+struct LoadNews {
     /// Hash of the sender's name.
     sender: u64,
     readings: Vec<Reading>,
@@ -135,7 +146,7 @@
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
     let mut last_send = Instant::now();
     loop {
-        let interval = if host.peers.has_news() {
+        let interval = if host.peers.has_news() || host.relay.has_news() {
             SEND_INTERVAL
         } else {
             COUNT_INTERVAL
@@ -151,6 +162,7 @@
                 last_send = Instant::now();
             }
             () = host.news.notified() => {}
+            () = host.relay.news.notified() => {}
         }
     }
 }
@@ -159,6 +171,18 @@
     let away = std::mem::take(&mut *host.peers.away.borrow_mut());
     send_elsewhere(host, socket, &away);
     send_news(host, socket, away);
+    for news in host.relay.take_due() {
+        send_to(socket, &Datagram::Store(news), group(host));
+    }
+}
+
+/// The hosts that share their watches of the store with this one.
+fn group<B>(host: &Host<B>) -> Vec<SocketAddr> {
+    let hosts = host.peers.hosts.borrow();
+    let is_small = hosts.len() < SMALL_FLEET;
+    let zone = &host.deployment.zone;
+    let group = hosts.values().filter(|peer| is_small || peer.zone == *zone);
+    group.map(|peer| peer.address).collect()
 }
 
 /// Tells hosts of other availability zones what concerns all: engines that take no requests, and new
@@ -170,12 +194,12 @@
     if is_empty || !host.directory.borrow().is_local(zone) {
         return;
     }
-    let datagram = Datagram {
+    let datagram = Datagram::Load(LoadNews {
         sender: hash_of(&host.deployment.name),
         readings,
         streams: Vec::new(),
         away: away.to_vec(),
-    };
+    });
     let hosts = host.peers.hosts.borrow();
     let elsewhere = hosts.values().filter(|peer| peer.zone != *zone);
     send_to(socket, &datagram, elsewhere.map(|peer| peer.address));
@@ -201,12 +225,12 @@
     if readings.is_empty() && streams.is_empty() && away.is_empty() {
         return;
     }
-    let datagram = Datagram {
+    let datagram = Datagram::Load(LoadNews {
         sender: hash_of(&host.deployment.name),
         readings,
         streams,
         away,
-    };
+    });
     send_to(socket, &datagram, told(host));
 }
 
@@ -241,10 +265,16 @@
 }
 
 fn receive<B>(host: &Host<B>, bytes: &[u8]) {
-    let decoded = bincode::serde::decode_from_slice(bytes, bincode::config::standard());
-    let Ok((datagram, _)): Result<(Datagram, usize), _> = decoded else {
-        return;
-    };
+    let decoded: Result<(Datagram, usize), _> =
+        bincode::serde::decode_from_slice(bytes, bincode::config::standard());
+    match decoded {
+        Ok((Datagram::Load(news), _)) => take_load(host, news),
+        Ok((Datagram::Store(news), _)) => host.relay.receive(news),
+        Err(_) => {}
+    }
+}
+
+fn take_load<B>(host: &Host<B>, datagram: LoadNews) {
     let now_ms = host.now_ms();
     let mut directory = host.directory.borrow_mut();
     for told in datagram.streams {
@@ -324,21 +354,22 @@
     store: Rc<S>,
     contact: Rc<StoreContact>,
 ) {
-    follow_with(
-        &*store,
-        &contact,
-        Kind::Hosts,
-        |objects, is_complete| {
-            if is_complete {
-                host.peers.hosts.borrow_mut().clear();
-            }
-            for object in &objects.objects {
-                take_host(&host, object);
-            }
-        },
-        |_| {},
-    )
-    .await;
+    let take = |objects: &Objects, is_complete: bool| {
+        if is_complete {
+            host.peers.hosts.borrow_mut().clear();
+        }
+        for object in &objects.objects {
+            take_host(&host, object);
+        }
+    };
+    let followed = Followed {
+        store: &*store,
+        contact: &contact,
+        relay: &host.relay,
+        kind: Kind::Hosts,
+        bound_ms: host.deployment.change_ms(),
+    };
+    followed.run(take, |_| {}).await;
 }
 
 fn take_host<B>(host: &Host<B>, object: &Object) {
--- a/crates/yucca-serve/tests/common/mod.rs
+++ b/crates/yucca-serve/tests/common/mod.rs
@@ -62,6 +62,8 @@
     era: Cell<u64>,
     objects: RefCell<Vec<(Kind, Object)>>,
     oldest: Cell<u64>,
+    /// The era whose watches were closed with all before it.
+    closed: Cell<u64>,
     changed: Notify,
     /// Number of calls.
     pub calls: Cell<u64>,
@@ -74,6 +76,7 @@
             era: Cell::new(0),
             objects: RefCell::default(),
             oldest: Cell::new(0),
+            closed: Cell::new(0),
             changed: Notify::new(),
             calls: Cell::new(0),
         })
@@ -90,6 +93,13 @@
         self.era.set(self.era.get() + 1);
     }
 
+    /// Closes the connections of all watches that wait.
+    pub fn close_watches(&self) {
+        self.era.set(self.era.get() + 1);
+        self.closed.set(self.era.get());
+        self.changed.notify_waiters();
+    }
+
     pub fn revision(&self) -> u64 {
         self.objects
             .borrow()
@@ -166,6 +176,9 @@
             let changed = self.changed.notified();
             let objects = self.of_kind(kind, since);
             let is_known = era == self.era.get();
+            if era < self.closed.get() {
+                return Err(StoreFault::NoAnswer("closed".to_owned()));
+            }
             if is_known && !objects.is_empty() {
                 let revision = self.revision();
                 return Ok(Objects { objects, revision });
@@ -441,6 +454,7 @@
         retry_ratio: 0.2,
         retry_slack: 54.0,
         drain_ms: 2_000,
+        config_ms: 2_000,
         grace_ms: 8_000,
         lease_ms: 3_000,
     }
--- /dev/null
+++ b/crates/yucca-serve/tests/relay.rs
@@ -0,0 +1,385 @@
+//! Guards that changes of the store reach all hosts in time although few of them watch it: the ones
+//! that watch are killed, cut off from the store or from the others, and datagrams are lost.
+
+mod common;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use common::{FakeBackEnds, FakeStore, StoreMode, deployment, run_virtual, wait_ms};
+use serde_json::{Value, json};
+use tokio::task::{JoinHandle, spawn_local};
+use yucca_serve::config::ServingConfig;
+use yucca_serve::directory::BackEndEntry;
+use yucca_serve::follow::{follow_back_ends, follow_config, keep_contact};
+use yucca_serve::host::{Deployment, Host};
+use yucca_serve::ports::{Freshness, Kind, Object, ObjectStore, Objects, StoreFault};
+
+/// Bound of the deployment on changes of back ends and of the configuration.
+const BOUND_MS: u64 = 2_000;
+/// Interval in which datagrams are delivered.
+const PUMP_MS: u64 = 10;
+
+/// A host's path to the store, which can be cut.
+#[derive(Debug)]
+struct Link {
+    store: Rc<FakeStore>,
+    mode: Cell<StoreMode>,
+    watches: Cell<u64>,
+}
+
+impl Link {
+    async fn pass(&self) -> Result<(), StoreFault> {
+        match self.mode.get() {
+            StoreMode::Up => Ok(()),
+            StoreMode::Refusing => Err(StoreFault::Refused(503)),
+            StoreMode::Silent => {
+                wait_ms(1_000).await;
+                Err(StoreFault::NoAnswer("cut".to_owned()))
+            }
+        }
+    }
+}
+
+impl ObjectStore for Link {
+    async fn list(&self, kind: Kind) -> Result<Objects, StoreFault> {
+        self.pass().await?;
+        self.store.list(kind).await
+    }
+
+    async fn watch(&self, kind: Kind, since: u64, wait_ms: u64) -> Result<Objects, StoreFault> {
+        self.watches.set(self.watches.get() + 1);
+        self.pass().await?;
+        let answer = self.store.watch(kind, since, wait_ms).await;
+        if self.mode.get() != StoreMode::Up {
+            // What the store sends into the cut is lost.
+            return std::future::pending().await;
+        }
+        answer
+    }
+
+    async fn write(
+        &self,
+        kind: Kind,
+        name: &str,
+        expected: Option<u64>,
+        value: &Value,
+    ) -> Result<u64, StoreFault> {
+        self.pass().await?;
+        self.store.write(kind, name, expected, value).await
+    }
+
+    async fn read(
+        &self,
+        kind: Kind,
+        name: &str,
+        freshness: Freshness,
+    ) -> Result<Option<Object>, StoreFault> {
+        self.pass().await?;
+        self.store.read(kind, name, freshness).await
+    }
+
+    async fn remove(&self, kind: Kind, name: &str) -> Result<(), StoreFault> {
+        self.pass().await?;
+        self.store.remove(kind, name).await
+    }
+
+    fn back_end(&self, object: &Object) -> Option<BackEndEntry> {
+        self.store.back_end(object)
+    }
+
+    fn config(&self, object: &Object) -> Option<ServingConfig> {
+        self.store.config(object)
+    }
+}
+
+struct Member {
+    host: Rc<Host<FakeBackEnds>>,
+    link: Rc<Link>,
+    tasks: Vec<JoinHandle<()>>,
+    is_dead: Cell<bool>,
+    /// Whether it is cut off from the other hosts.
+    is_apart: Cell<bool>,
+}
+
+impl Member {
+    fn spawn(store: &Rc<FakeStore>, number: usize) -> Self {
+        let own = Deployment {
+            name: format!("entry-{number}"),
+            ..deployment()
+        };
+        let host = Rc::new(Host::new(own, FakeBackEnds::default()));
+        let link = Rc::new(Link {
+            store: Rc::clone(store),
+            mode: Cell::new(StoreMode::Up),
+            watches: Cell::new(0),
+        });
+        let contact = Rc::clone(&host.relay.contact);
+        let tasks = vec![
+            spawn_local(follow_config(
+                Rc::clone(&host),
+                Rc::clone(&link),
+                Rc::clone(&contact),
+            )),
+            spawn_local(follow_back_ends(
+                Rc::clone(&host),
+                Rc::clone(&link),
+                Rc::clone(&contact),
+            )),
+            spawn_local(keep_contact(
+                contact,
+                Rc::clone(&link),
+                Kind::Leases,
+                "none",
+                |_| {},
+            )),
+        ];
+        Self {
+            host,
+            link,
+            tasks,
+            is_dead: Cell::new(false),
+            is_apart: Cell::new(false),
+        }
+    }
+
+    fn kill(&self) {
+        self.is_dead.set(true);
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+
+    fn knows(&self, back_ends: usize, version: u64) -> bool {
+        let directory = self.host.directory.borrow();
+        let usable = directory.usable("desk", self.host.now_ms()).len();
+        usable == back_ends && self.host.config().is_some_and(|c| c.version == version)
+    }
+}
+
+/// Hosts that exchange datagrams, one in `1 / loss` of which is lost.
+struct Group {
+    store: Rc<FakeStore>,
+    members: Rc<Vec<Member>>,
+    back_ends: Cell<usize>,
+    version: Cell<u64>,
+}
+
+impl Group {
+    fn spawn(hosts: usize, loss: f64, seed: u64) -> Self {
+        let store = FakeStore::new();
+        store.put(Kind::Config, "main", Some(json!({ "version": 1 })));
+        let members = Rc::new(
+            (0..hosts)
+                .map(|n| Member::spawn(&store, n))
+                .collect::<Vec<_>>(),
+        );
+        let group = Self {
+            store,
+            members,
+            back_ends: Cell::new(0),
+            version: Cell::new(1),
+        };
+        group.add_back_end();
+        spawn_local(pump(Rc::clone(&group.members), loss, seed));
+        group
+    }
+
+    fn add_back_end(&self) {
+        let number = self.back_ends.get();
+        let value = json!({ "service": "desk", "address": format!("10.0.0.{number}:80") });
+        self.store
+            .put(Kind::BackEnds, &format!("i-{number}"), Some(value));
+        self.back_ends.set(number + 1);
+    }
+
+    fn change_config(&self) {
+        let version = self.version.get() + 1;
+        self.store
+            .put(Kind::Config, "main", Some(json!({ "version": version })));
+        self.version.set(version);
+    }
+
+    /// Hosts that watch, by what they send.
+    fn watching(&self) -> Vec<usize> {
+        let names = (0..self.members.len()).filter(|at| self.members[*at].host.relay.is_relay());
+        names.collect()
+    }
+
+    /// Members that should know the changes and do not.
+    fn behind(&self) -> Vec<usize> {
+        let alive = (0..self.members.len()).filter(|at| {
+            let member = &self.members[*at];
+            !member.is_dead.get() && member.link.mode.get() == StoreMode::Up
+        });
+        alive
+            .filter(|at| !self.members[*at].knows(self.back_ends.get(), self.version.get()))
+            .collect()
+    }
+
+    fn watches(&self) -> u64 {
+        self.members.iter().map(|m| m.link.watches.get()).sum()
+    }
+}
+
+async fn pump(members: Rc<Vec<Member>>, loss: f64, seed: u64) {
+    let draws = RefCell::new(seed);
+    let is_lost = || {
+        let mut draw = draws.borrow_mut();
+        *draw = draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        ((*draw >> 33) as f64) < loss * f64::from(1u32 << 31)
+    };
+    loop {
+        wait_ms(PUMP_MS).await;
+        for (from, sender) in members.iter().enumerate() {
+            if sender.is_dead.get() {
+                continue;
+            }
+            for news in sender.host.relay.take_due() {
+                for (to, receiver) in members.iter().enumerate() {
+                    let is_cut = sender.is_apart.get() || receiver.is_apart.get();
+                    if to != from && !is_cut && !receiver.is_dead.get() && !is_lost() {
+                        receiver.host.relay.receive(news.clone());
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// A change of the back ends must not cost a call of each host.
+#[test]
+fn relay_two_hosts_watch() {
+    run_virtual(async {
+        let group = Group::spawn(12, 0.0, 1);
+        // Watches that began with the hosts end by then.
+        wait_ms(10_000).await;
+        assert_eq!(group.watching().len(), 2);
+        let before = group.watches();
+        for _ in 0..20 {
+            group.add_back_end();
+            wait_ms(1_500).await;
+            assert!(group.behind().is_empty());
+        }
+        // Two hosts make one for each change, and some as nothing changes for 8 s.
+        let watches = group.watches() - before;
+        assert!(watches <= 60, "{watches} watches for 20 changes");
+    });
+}
+
+/// What goes wrong with hosts that watch.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Trouble {
+    None,
+    Killed,
+    Silent,
+    Refused,
+    Apart,
+    HistoryLost,
+}
+
+/// A change must be in force on all hosts within the bound, whatever happens to those that watch
+/// and whenever.
+#[test]
+fn relay_changes_in_time() {
+    let troubles = [
+        Trouble::None,
+        Trouble::Killed,
+        Trouble::Silent,
+        Trouble::Refused,
+        Trouble::Apart,
+        Trouble::HistoryLost,
+    ];
+    for trouble in troubles {
+        for lost in [1, 2] {
+            for before_ms in [0, 40, 150, 350, 610, 900, 1_500] {
+                run_virtual(change_under(trouble, lost, before_ms));
+            }
+        }
+    }
+}
+
+/// Two changes, of which `lost` watching hosts may have told the first; the trouble begins `before_ms`
+/// ahead of the second.
+async fn change_under(trouble: Trouble, lost: usize, before_ms: u64) {
+    let group = Group::spawn(7, 0.0, 1);
+    wait_ms(9_700).await;
+    let watching = group.watching();
+    group.add_back_end();
+    for at in watching.iter().take(lost) {
+        let member = &group.members[*at];
+        match trouble {
+            Trouble::None => {}
+            Trouble::Killed => member.kill(),
+            Trouble::Silent => member.link.mode.set(StoreMode::Silent),
+            Trouble::Refused => member.link.mode.set(StoreMode::Refusing),
+            Trouble::Apart => member.is_apart.set(true),
+            Trouble::HistoryLost => group.store.drop_history(),
+        }
+    }
+    wait_ms(before_ms).await;
+    group.add_back_end();
+    group.change_config();
+    let case = format!("{trouble:?} for {lost}, {before_ms} ms before");
+    // A watch whose history is dropped hears nothing for a moment; see the fake store.
+    let slack_ms = if trouble == Trouble::HistoryLost {
+        8_000
+    } else {
+        0
+    };
+    wait_ms(BOUND_MS + slack_ms).await;
+    assert_eq!(group.behind(), Vec::<usize>::new(), "{case}");
+    for member in group.members.iter() {
+        member.link.mode.set(StoreMode::Up);
+        member.is_apart.set(false);
+    }
+    wait_ms(12_000).await;
+    assert_eq!(group.behind(), Vec::<usize>::new(), "{case}, afterwards");
+    assert_eq!(group.watching().len(), 2, "{case}, afterwards");
+}
+
+/// Lost datagrams must only cost calls.
+#[test]
+fn relay_lost_datagrams() {
+    for seed in 1..=8 {
+        for loss in [0.03, 0.3, 0.9] {
+            run_virtual(async {
+                let group = Group::spawn(7, loss, seed);
+                for round in 0..20 {
+                    wait_ms(400 + 137 * (round % 5)).await;
+                    group.add_back_end();
+                    if round % 3 == 0 {
+                        group.change_config();
+                    }
+                    if round % 4 == 3 {
+                        wait_ms(BOUND_MS).await;
+                        let behind = group.behind();
+                        assert!(behind.is_empty(), "{behind:?}, seed {seed}, loss {loss}");
+                    }
+                }
+            });
+        }
+    }
+}
+
+/// A host that returns from a cut with old claims must not keep the others from what it lacks.
+#[test]
+fn relay_old_claims() {
+    run_virtual(async {
+        let group = Group::spawn(5, 0.0, 1);
+        wait_ms(9_000).await;
+        let apart = group.watching()[0];
+        group.members[apart].is_apart.set(true);
+        group.members[apart].link.mode.set(StoreMode::Silent);
+        wait_ms(3_000).await;
+        for _ in 0..5 {
+            group.add_back_end();
+            wait_ms(700).await;
+        }
+        group.members[apart].is_apart.set(false);
+        group.members[apart].link.mode.set(StoreMode::Up);
+        group.change_config();
+        wait_ms(BOUND_MS).await;
+        assert_eq!(group.behind(), Vec::<usize>::new());
+    });
+}
--- a/src/event.rs
+++ b/src/event.rs
@@ -74,6 +74,8 @@
     PeerLost = 502, "peer_lost", "A peer no longer answers.";
     Isolated = 503, "isolated", "The host reaches neither the object API nor a peer.";
     Rejoined = 504, "rejoined", "The host reaches the object API or a peer again.";
+    RelayBegun = 505, "relay_begun", "This host watches the object API and tells the other hosts.";
+    RelayEnded = 506, "relay_ended", "This host relies on what other hosts tell of the object API.";
     CatalogueChanged = 601, "catalogue_changed", "A newer version of a catalogue object is in force.";
     CatalogueStale = 602, "catalogue_stale", "An older version of a catalogue object was ignored.";
     CatalogueInvalid = 603, "catalogue_invalid", "A catalogue object cannot be read and was ignored.";
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,3 +43,4 @@
 pub mod store;
 pub mod subset;
 pub mod suspect;
+pub mod watch_relay;
