Bound a watch by the time in which a change must be in force

The store was silent for less than the 0.9 s between two contact calls, forgot the watches that waited, and nothing noticed until the watch's 8 s were over.

A watch now waits for 0.6 of the bound.

--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -14,10 +14,10 @@
 use crate::ports::{Freshness, Kind, Object, ObjectStore, Objects, StoreFault};
 use crate::relay::Relay;
 
-/// Time for which a watch waits for changes. A shorter trouble of the store than [`CONTACT_MS`] can
-/// pass unnoticed and may lose a watch's answer, so that this bounds the time until it is made good.
-const WATCH_MS: u64 = 8_000;
-/// The same for kinds that nothing urgent depends on.
+/// Time for which a watch waits for changes, as a part of the time within which a change must be in
+/// force. A store that falls silent for a moment may forget a watch and go unnoticed otherwise.
+const WATCH_SHARE: f64 = 0.6;
+/// Time for which a watch of a kind waits that nothing urgent depends on.
 const SLOW_WATCH_MS: u64 = 25_000;
 /// Interval in which the store is asked whether it answers.
 const CONTACT_MS: u64 = 900;
@@ -223,13 +223,6 @@
     );
 }
 
-fn watch_ms(kind: Kind) -> u64 {
-    match kind {
-        Kind::Config | Kind::BackEnds => WATCH_MS,
-        Kind::Hosts | Kind::Leases => SLOW_WATCH_MS,
-    }
-}
-
 /// A kind of objects that is followed.
 pub struct Followed<'a, S> {
     /// Where they are kept.
@@ -313,8 +306,8 @@
 
     /// Watches for changes after `revision`.
     async fn watch(&self, revision: u64) -> Result<Objects, StoreFault> {
-        let answer = self.store.watch(self.kind, revision, watch_ms(self.kind));
-        let mut answer = pin!(answer);
+        let wait_ms = self.wait_ms();
+        let mut answer = pin!(self.store.watch(self.kind, revision, wait_ms));
         let under_way = Duration::from_millis(UNDER_WAY_MS);
         if let Ok(result) = timeout(under_way, answer.as_mut()).await {
             return result;
@@ -323,6 +316,13 @@
         answer.await
     }
 
+    fn wait_ms(&self) -> u64 {
+        match self.kind {
+            Kind::Config | Kind::BackEnds => (self.bound_ms as f64 * WATCH_SHARE) as u64,
+            Kind::Hosts | Kind::Leases => SLOW_WATCH_MS,
+        }
+    }
+
     fn gather(&self) -> Duration {
         let ms = match self.kind {
             Kind::Config | Kind::BackEnds => (self.bound_ms as f64 * GATHER_SHARE) as u64,
