Split the engine stand-in by job

One file of 893 lines held the capacity, the queue and batch, the waiting answers and the HTTP calls.

--- a/crates/yucca-load/tests/replay.rs
+++ b/crates/yucca-load/tests/replay.rs
@@ -16,7 +16,8 @@
 use yucca_load::trace::{self, Row};
 use yucca_load::watch::EngineWatch;
 use yucca_standins::answer::Answer;
-use yucca_standins::engine::{Config, Engine};
+use yucca_standins::engine::Engine;
+use yucca_standins::engine_config::EngineConfig;
 use yucca_standins::service::Service;
 use yucca_standins::standin::{Standin, spawn_standin};
 use yuccacove::catalogue::{EngineSpec, Entry, Role};
@@ -90,9 +91,9 @@
         version: version.into(),
         role: Role::Mixed,
     };
-    spawn(Engine::spawn(Config {
+    spawn(Engine::spawn(EngineConfig {
         decode_tokens_per_s: 1e5,
-        ..Config::new("e", spec)
+        ..EngineConfig::new("e", spec)
     }))
 }
 
--- a/crates/yucca-standins/src/bin/standin-engine.rs
+++ b/crates/yucca-standins/src/bin/standin-engine.rs
@@ -6,7 +6,8 @@
 use anyhow::{Context, bail, ensure};
 use lexopt::prelude::*;
 use yucca_standins::command_line;
-use yucca_standins::engine::{Config, Engine};
+use yucca_standins::engine::Engine;
+use yucca_standins::engine_config::EngineConfig;
 use yucca_standins::standin::spawn_standin;
 use yuccacove::catalogue::{EngineSpec, Role};
 
@@ -42,7 +43,7 @@
         version: String::new(),
         role: Role::Mixed,
     };
-    let mut config = Config::new("", spec);
+    let mut config = EngineConfig::new("", spec);
     let mut listen: Option<SocketAddr> = None;
     let mut parser = lexopt::Parser::from_env();
     while let Some(argument) = parser.next()? {
--- a/crates/yucca-standins/src/engine.rs
+++ b/crates/yucca-standins/src/engine.rs
@@ -1,108 +1,36 @@
 //! Stand-in for a model engine with continuous batching.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::process;
-use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::mpsc::channel;
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime};
 
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
-use yuccacove::catalogue::{EngineSpec, Role};
+use yuccacove::catalogue::EngineSpec;
 
 use crate::answer::{self, Answer};
-use crate::call::{Call, EventWriter};
+use crate::batch::{Change, Counters, Job, Progress, State};
+use crate::call::Call;
+use crate::engine_config::EngineConfig;
 use crate::fault::{Faults, Mode};
 use crate::prefix_cache::PrefixCache;
-use crate::relay::{Connection, lock};
+use crate::relay::lock;
 use crate::standin::{CRASH_EXIT_CODE, Standin};
+use crate::ticket::Ticket;
 
 /// Rank of a request without `x-rank`, in the middle of the three.
 const DEFAULT_RANK: u64 = 1;
 /// Answer length of a request without `max_tokens`.
 const DEFAULT_OUTPUT_TOKENS: usize = 16;
-/// Changes of the load within this time share one sample of the report.
-const SAMPLE_MS: u64 = 5;
 /// Longest time that a request for cache events is held open.
 const MAX_EVENT_WAIT_MS: u64 = 600_000;
 /// Importing KV cache is this many times faster than its prefill.
 const KV_TRANSFER_SPEEDUP: f64 = 8.0;
 /// Time limit of the call to the engine that exports KV cache.
 const KV_EXPORT_TIMEOUT_MS: u64 = 2_000;
-
-/// Capacity and habits of an engine.
-#[derive(Debug, Clone)]
-pub struct Config {
-    /// Name that the status reports.
-    pub name: String,
-    /// Model, version and role at the start.
-    pub spec: EngineSpec,
-    /// Whether orders with an old fencing number are refused.
-    pub checks_fence: bool,
-    /// Speed of prefill when nothing else runs.
-    pub prefill_tokens_per_s: f64,
-    /// Speed of decode of a full batch.
-    pub decode_tokens_per_s: f64,
-    /// Requests in the batch.
-    pub max_batch: usize,
-    /// Size of the prefix cache.
-    pub cache_tokens: usize,
-    /// Age of the load that the status reports.
-    pub report_lag_ms: u64,
-    /// Time until a cache event is visible.
-    pub event_lag_ms: u64,
-    /// Share of cache events that are lost.
-    pub event_loss_percent: u64,
-    /// Absence during a change of model, version or role.
-    pub order_ms: u64,
-    /// Selects the lost cache events.
-    pub seed: u64,
-}
-
-impl Config {
-    /// Default capacity and habits of an engine called `name` that holds `spec`.
-    pub fn new(name: &str, spec: EngineSpec) -> Self {
-        Self {
-            name: name.to_owned(),
-            spec,
-            checks_fence: true,
-            prefill_tokens_per_s: 8_000.0,
-            // An engine's share of 650,000 tokens/s on 930 engines.
-            decode_tokens_per_s: 700.0,
-            max_batch: 32,
-            cache_tokens: 100_000,
-            report_lag_ms: 200,
-            event_lag_ms: 200,
-            event_loss_percent: 0,
-            order_ms: 3_000,
-            seed: 1,
-        }
-    }
-
-    /// Duration of a step that prefills `prefill_tokens` and decodes one token of `decoding`
-    /// requests. Half of a full batch's decode time does not depend on the batch's size.
-    pub fn step(&self, prefill_tokens: usize, decoding: usize) -> Duration {
-        let prefill_s = prefill_tokens as f64 / self.prefill_tokens_per_s;
-        let full_decode_s = self.max_batch as f64 / self.decode_tokens_per_s;
-        let decode_s = if decoding == 0 {
-            0.0
-        } else {
-            full_decode_s * (0.5 + 0.5 * decoding as f64 / self.max_batch as f64)
-        };
-        Duration::from_secs_f64(prefill_s + decode_s)
-    }
-}
-
-/// Tokens that one step prefills at most; the role sets how far prefill may stall decode.
-fn prefill_chunk_tokens(role: Role) -> usize {
-    match role {
-        Role::Mixed => 128,
-        Role::Prefill => 1_024,
-        Role::Decode => 32,
-    }
-}
-
 #[derive(Debug, Deserialize)]
 struct Message {
     content: String,
@@ -148,204 +76,9 @@
     from: String,
 }
 
-/// What a request's handler is told by the step loop.
-#[derive(Debug)]
-enum Progress {
-    Token {
-        index: usize,
-        text: String,
-    },
-    Cancelled,
-    Expired,
-    /// The change of an order began before the request ran.
-    NotRun,
-    /// The change of an order began while the request ran.
-    Cut,
-}
-
-#[derive(Debug)]
-struct Job {
-    number: u64,
-    id: String,
-    rank: u64,
-    deadline: Option<Instant>,
-    prompt: String,
-    prompt_tokens: usize,
-    hashes: Vec<String>,
-    prefill_left: usize,
-    next_index: usize,
-    end_index: usize,
-    answer: Answer,
-    progress: Sender<Progress>,
-}
-
-impl Job {
-    fn tell(&self, progress: Progress) {
-        // A handler that is gone has cancelled the job or is about to.
-        let _ = self.progress.send(progress);
-    }
-}
-
-#[derive(Debug, Default, Clone, Copy, Serialize)]
-struct Load {
-    running: usize,
-    waiting: usize,
-    prefill_backlog_tokens: usize,
-    decode_backlog_tokens: usize,
-}
-
-#[derive(Debug)]
-struct Change {
-    intent: String,
-    spec: EngineSpec,
-    ends: Instant,
-}
-
-#[derive(Debug, Default, Serialize)]
-struct Counters {
-    runs: HashMap<String, u64>,
-    finished: u64,
-    cancelled: u64,
-    expired: u64,
-    orders_taken: u64,
-    orders_repeated: u64,
-    orders_fenced: u64,
-    overlapping_orders: u64,
-    cut_by_order: u64,
-    prefill_tokens: usize,
-    cached_tokens: usize,
-    output_tokens: u64,
-    largest_batch: usize,
-    busy_us: u64,
-    orders: Vec<Value>,
-}
-
-struct State {
-    spec: EngineSpec,
-    change: Option<Change>,
-    fence: u64,
-    last_order: String,
-    jobs: u64,
-    /// Most urgent first, then in the order of arrival.
-    waiting: Vec<Job>,
-    running: Vec<Job>,
-    cache: PrefixCache,
-    samples: VecDeque<(Instant, Load)>,
-    counters: Counters,
-}
-
-impl State {
-    fn load(&self) -> Load {
-        let jobs = || self.running.iter().chain(&self.waiting);
-        Load {
-            running: self.running.len(),
-            waiting: self.waiting.len(),
-            prefill_backlog_tokens: jobs().map(|job| job.prefill_left).sum(),
-            decode_backlog_tokens: jobs().map(|job| job.end_index - job.next_index).sum(),
-        }
-    }
-
-    fn sample(&mut self, now: Instant, lag: Duration) {
-        let load = self.load();
-        match self.samples.back_mut() {
-            Some((at, last)) if *at + Duration::from_millis(SAMPLE_MS) > now => *last = load,
-            _ => self.samples.push_back((now, load)),
-        }
-        while self.samples.get(1).is_some_and(|(at, _)| *at + lag <= now) {
-            self.samples.pop_front();
-        }
-    }
-
-    /// The load as it was `lag` before `now`.
-    fn reported_load(&self, now: Instant, lag: Duration) -> Load {
-        let old_enough = |(at, _): &&(Instant, Load)| *at + lag <= now;
-        let sample = self.samples.iter().rev().find(old_enough);
-        sample.map_or_else(Load::default, |(_, load)| *load)
-    }
-
-    fn finish_change(&mut self, now: Instant) {
-        let Some(change) = self.change.take_if(|change| change.ends <= now) else {
-            return;
-        };
-        if (&change.spec.model, &change.spec.version) != (&self.spec.model, &self.spec.version) {
-            self.cache.clear(now);
-        }
-        self.spec = change.spec;
-        self.last_order = change.intent;
-    }
-
-    /// Moves waiting requests into the batch.
-    fn fill_batch(&mut self, max_batch: usize, now: Instant) {
-        let (expired, waiting) = self
-            .waiting
-            .drain(..)
-            .partition::<Vec<_>, _>(|job| job.deadline.is_some_and(|deadline| deadline <= now));
-        self.waiting = waiting;
-        for job in expired {
-            self.counters.expired += 1;
-            job.tell(Progress::Expired);
-        }
-        while self.running.len() < max_batch && !self.waiting.is_empty() {
-            let mut job = self.waiting.remove(0);
-            let cached = self.cache.touch(&job.hashes);
-            // The first output token needs the computation of at least one prompt token.
-            job.prefill_left = job.prompt_tokens.saturating_sub(cached).max(1);
-            self.counters.cached_tokens += job.prompt_tokens.saturating_sub(job.prefill_left);
-            *self.counters.runs.entry(job.id.clone()).or_default() += 1;
-            self.running.push(job);
-        }
-        self.counters.largest_batch = self.counters.largest_batch.max(self.running.len());
-    }
-
-    /// Prefill tokens by job of the next step, and the jobs that decode in it.
-    fn plan_step(&self) -> (Vec<(u64, usize)>, Vec<u64>) {
-        let mut budget = prefill_chunk_tokens(self.spec.role);
-        let mut prefilling: Vec<_> = self.running.iter().filter(|j| j.prefill_left > 0).collect();
-        prefilling.sort_by_key(|job| (job.rank, job.number));
-        let mut prefill = Vec::new();
-        for job in prefilling {
-            let tokens = job.prefill_left.min(budget);
-            if tokens > 0 {
-                budget -= tokens;
-                prefill.push((job.number, tokens));
-            }
-        }
-        let decode = self.running.iter().filter(|j| j.prefill_left == 0);
-        (prefill, decode.map(|job| job.number).collect())
-    }
-
-    /// Applies a step; jobs that were cancelled or cut meanwhile are no longer in the batch.
-    fn apply_step(&mut self, prefill: &[(u64, usize)], decode: &[u64], now: Instant) {
-        let mut emitting = decode.to_vec();
-        for (number, tokens) in prefill {
-            let Some(job) = self.running.iter_mut().find(|j| j.number == *number) else {
-                continue;
-            };
-            job.prefill_left -= tokens;
-            self.counters.prefill_tokens += tokens;
-            if job.prefill_left == 0 {
-                self.cache.insert(&job.hashes, now);
-                emitting.push(*number);
-            }
-        }
-        for job in &mut self.running {
-            if emitting.contains(&job.number) {
-                let index = job.next_index;
-                let text = job.answer.chunk(index);
-                job.next_index += 1;
-                self.counters.output_tokens += 1;
-                job.tell(Progress::Token { index, text });
-            }
-        }
-        let before = self.running.len();
-        self.running.retain(|job| job.next_index < job.end_index);
-        self.counters.finished += (before - self.running.len()) as u64;
-    }
-}
-
 /// The engine stand-in.
 pub struct Engine {
-    config: Config,
+    config: EngineConfig,
     incarnation: u64,
     faults: Faults,
     state: Mutex<State>,
@@ -357,7 +90,7 @@
 
 impl Engine {
     /// Starts an engine's step loop.
-    pub fn spawn(config: Config) -> Arc<Self> {
+    pub fn spawn(config: EngineConfig) -> Arc<Self> {
         let event_lag = Duration::from_millis(config.event_lag_ms);
         let cache = PrefixCache::new(
             config.cache_tokens,
@@ -777,117 +510,3 @@
         .body_mut()
         .read_json()
 }
-
-/// A submitted request whose progress its handler awaits.
-struct Ticket {
-    number: u64,
-    id: String,
-    model: String,
-    prompt_tokens: usize,
-    first_index: usize,
-    end_index: usize,
-    receiver: Receiver<Progress>,
-}
-
-impl Ticket {
-    fn next(&self) -> Progress {
-        // The sender goes away only with its job, after the last token or a final notice.
-        self.receiver.recv().unwrap_or(Progress::Cancelled)
-    }
-
-    fn answer_whole(self, call: Call, connection: &Connection) {
-        let mut content = String::new();
-        for _ in self.first_index..self.end_index {
-            match self.next() {
-                Progress::Token { text, .. } => content += &text,
-                other => return refuse_unfinished(&other, call, connection),
-            }
-        }
-        connection.clear_on_close();
-        let body = json!({
-            "id": self.id,
-            "object": "chat.completion",
-            "model": self.model,
-            "choices": [{
-                "index": 0,
-                "message": {"role": "assistant", "content": content},
-                "finish_reason": "length",
-            }],
-            "usage": {
-                "prompt_tokens": self.prompt_tokens,
-                "completion_tokens": self.end_index - self.first_index,
-            },
-        });
-        call.answer_with(200, &[("x-request-id", &self.id)], &body);
-    }
-
-    fn answer_stream(self, call: Call, connection: &Connection) {
-        let first = self.next();
-        let Progress::Token { index, text } = first else {
-            return refuse_unfinished(&first, call, connection);
-        };
-        // A failed write means that the client has disconnected, which cancels the request.
-        let Ok(mut events) = call.start_events(&[("x-request-id", &self.id)]) else {
-            return;
-        };
-        if events.data(&self.chunk(index, &text)).is_err() {
-            return;
-        }
-        for _ in index + 1..self.end_index {
-            match self.next() {
-                Progress::Token { index, text } => {
-                    if events.data(&self.chunk(index, &text)).is_err() {
-                        return;
-                    }
-                }
-                Progress::Cut => return connection.cut(),
-                _ => {
-                    connection.clear_on_close();
-                    return end_cancelled(events);
-                }
-            }
-        }
-        // Cleared first: the next request on this connection sets its own action.
-        connection.clear_on_close();
-        let _ = events.data("[DONE]").and_then(|()| events.end());
-    }
-
-    fn chunk(&self, index: usize, text: &str) -> String {
-        let last = index + 1 == self.end_index;
-        let finish_reason = last.then_some("length");
-        json!({
-            "id": self.id,
-            "object": "chat.completion.chunk",
-            "model": self.model,
-            "token_index": index,
-            "choices": [{
-                "index": 0,
-                "delta": {"content": text},
-                "finish_reason": finish_reason,
-            }],
-        })
-        .to_string()
-    }
-}
-
-fn end_cancelled(mut events: EventWriter) {
-    let problem = json!({"status": 499, "detail": "request cancelled"});
-    let _ = events
-        .event("error", &problem.to_string())
-        .and_then(|()| events.end());
-}
-
-/// Answers a request of which no token was sent.
-fn refuse_unfinished(progress: &Progress, call: Call, connection: &Connection) {
-    connection.clear_on_close();
-    match progress {
-        Progress::Cut => call.cut(),
-        Progress::Expired => call.refuse(504, "deadline passed before the request ran"),
-        Progress::NotRun => call.answer_with(
-            503,
-            &[("retry-after", "1")],
-            &json!({"status": 503, "state": "changing"}),
-        ),
-        Progress::Token { .. } | Progress::Cancelled => call.refuse(499, "request cancelled"),
-    }
-}
--- a/crates/yucca-standins/src/lib.rs
+++ b/crates/yucca-standins/src/lib.rs
@@ -12,12 +12,15 @@
 //! ```
 
 pub mod answer;
+mod batch;
 pub mod call;
 pub mod command_line;
 pub mod engine;
+pub mod engine_config;
 pub mod fault;
 pub mod prefix_cache;
 pub mod relay;
 pub mod service;
 pub mod standin;
 pub mod store;
+mod ticket;
--- a/crates/yucca-standins/tests/contract/engine.rs
+++ b/crates/yucca-standins/tests/contract/engine.rs
@@ -5,7 +5,8 @@
 
 use serde_json::{Value, json};
 use yucca_standins::answer;
-use yucca_standins::engine::{Config, Engine};
+use yucca_standins::engine::Engine;
+use yucca_standins::engine_config::EngineConfig;
 use yuccacove::catalogue::{EngineSpec, Role};
 
 use crate::client::{Client, spawn};
@@ -14,22 +15,22 @@
 /// An answer of this size does not end within a test.
 const ENDLESS_TOKENS: usize = 1_000_000;
 
-fn config() -> Config {
+fn config() -> EngineConfig {
     let spec = EngineSpec {
         model: "m".into(),
         version: "v1".into(),
         role: Role::Mixed,
     };
-    Config {
+    EngineConfig {
         prefill_tokens_per_s: 1e6,
         decode_tokens_per_s: 5e4,
         report_lag_ms: 0,
         event_lag_ms: 0,
-        ..Config::new("e1", spec)
+        ..EngineConfig::new("e1", spec)
     }
 }
 
-fn engine(config: Config) -> Client {
+fn engine(config: EngineConfig) -> Client {
     spawn(Engine::spawn(config))
 }
 
@@ -154,7 +155,7 @@
 /// Guards against a batch that costs nothing and a prefill that does not stall decode.
 #[test]
 fn step_grows_with_batch_and_prefill() {
-    let config = Config {
+    let config = EngineConfig {
         prefill_tokens_per_s: 1_000.0,
         decode_tokens_per_s: 100.0,
         max_batch: 10,
@@ -172,7 +173,7 @@
 /// Guards against background work that runs before urgent work.
 #[test]
 fn urgent_request_runs_first() {
-    let client = engine(Config {
+    let client = engine(EngineConfig {
         max_batch: 1,
         ..config()
     });
@@ -300,7 +301,7 @@
         ),
     ];
     for (checks_fence, steps) in steps {
-        let client = engine(Config {
+        let client = engine(EngineConfig {
             checks_fence,
             order_ms: 3_600_000,
             ..config()
@@ -331,7 +332,7 @@
 /// Guards against a change that never ends, keeps an old version's cache or hides the cut request.
 #[test]
 fn order_changes_engine_and_cuts_running_request() {
-    let client = engine(Config {
+    let client = engine(EngineConfig {
         order_ms: 1,
         ..config()
     });
