Part the datagrams between hosts from their socket

peers::due gives what is to be sent and peers::receive takes what arrived, so that a run in virtual time can carry them. The socket's loop does as before; no change on the wire.

--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -168,14 +168,41 @@
 }
 
 fn send<B>(host: &Host<B>, socket: &UdpSocket) {
-    let away = std::mem::take(&mut *host.peers.away.borrow_mut());
-    send_elsewhere(host, socket, &away);
-    send_news(host, socket, away);
-    for news in host.relay.take_due() {
-        send_to(socket, &Datagram::Store(news), group(host));
+    for outgoing in due(host) {
+        for address in outgoing.to {
+            // A datagram that cannot be sent is as good as one that is lost.
+            let _ = socket.try_send_to(&outgoing.bytes, address);
+        }
     }
 }
 
+/// A datagram with the hosts that it is for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outgoing {
+    /// Addresses of the hosts.
+    pub to: Vec<SocketAddr>,
+    /// Content.
+    pub bytes: Vec<u8>,
+}
+
+/// What the other hosts are to be told now.
+pub fn due<B>(host: &Host<B>) -> Vec<Outgoing> {
+    let away = std::mem::take(&mut *host.peers.away.borrow_mut());
+    let elsewhere = news_for_elsewhere(host, &away);
+    let load = load_news(host, away);
+    let store = host.relay.take_due().into_iter();
+    let store = store.map(|news| (group(host), Datagram::Store(news)));
+    let all = elsewhere.into_iter().chain(load).chain(store);
+    all.filter_map(|(to, datagram)| {
+        let bytes = bincode::serde::encode_to_vec(datagram, bincode::config::standard());
+        Some(Outgoing {
+            to,
+            bytes: bytes.ok()?,
+        })
+    })
+    .collect()
+}
+
 /// The hosts that share their watches of the store with this one.
 fn group<B>(host: &Host<B>) -> Vec<SocketAddr> {
     let hosts = host.peers.hosts.borrow();
@@ -185,16 +212,16 @@
     group.map(|peer| peer.address).collect()
 }
 
-/// Tells hosts of other availability zones what concerns all: engines that take no requests, and new
-/// shared parts. The hosts that get the news learn of it from them.
-fn send_elsewhere<B>(host: &Host<B>, socket: &UdpSocket, away: &[Away]) {
+/// News for hosts of other availability zones that concern all: engines that take no requests, and new
+/// shared parts. The hosts that get the other news learn of it from them.
+fn news_for_elsewhere<B>(host: &Host<B>, away: &[Away]) -> Option<(Vec<SocketAddr>, Datagram)> {
     let readings = std::mem::take(&mut *host.peers.new_parts.borrow_mut());
     let zone = &host.deployment.zone;
     let is_empty = readings.is_empty() && away.is_empty();
     if is_empty || !host.directory.borrow().is_local(zone) {
-        return;
+        return None;
     }
-    let datagram = Datagram::Load(LoadNews {
+    let news = Datagram::Load(LoadNews {
         sender: hash_of(&host.deployment.name),
         readings,
         streams: Vec::new(),
@@ -202,36 +229,22 @@
     });
     let hosts = host.peers.hosts.borrow();
     let elsewhere = hosts.values().filter(|peer| peer.zone != *zone);
-    send_to(socket, &datagram, elsewhere.map(|peer| peer.address));
+    Some((elsewhere.map(|peer| peer.address).collect(), news))
 }
 
-fn send_to(
-    socket: &UdpSocket,
-    datagram: &Datagram,
-    addresses: impl IntoIterator<Item = SocketAddr>,
-) {
-    let Ok(bytes) = bincode::serde::encode_to_vec(datagram, bincode::config::standard()) else {
-        return;
-    };
-    for address in addresses {
-        // A datagram that cannot be sent is as good as one that is lost.
-        let _ = socket.try_send_to(&bytes, address);
-    }
-}
-
-fn send_news<B>(host: &Host<B>, socket: &UdpSocket, away: Vec<Away>) {
+fn load_news<B>(host: &Host<B>, away: Vec<Away>) -> Option<(Vec<SocketAddr>, Datagram)> {
     let readings = std::mem::take(&mut *host.peers.outbox.borrow_mut());
     let streams = own_streams(host);
     if readings.is_empty() && streams.is_empty() && away.is_empty() {
-        return;
+        return None;
     }
-    let datagram = Datagram::Load(LoadNews {
+    let news = Datagram::Load(LoadNews {
         sender: hash_of(&host.deployment.name),
         readings,
         streams,
         away,
     });
-    send_to(socket, &datagram, told(host));
+    Some((told(host), news))
 }
 
 /// Generations on all engines that have had one since the host last told of them.
@@ -264,7 +277,8 @@
     from_start.take(addresses.len().min(MAX_TOLD)).collect()
 }
 
-fn receive<B>(host: &Host<B>, bytes: &[u8]) {
+/// Takes a datagram of another host; one that cannot be read is left out.
+pub fn receive<B>(host: &Host<B>, bytes: &[u8]) {
     let decoded: Result<(Datagram, usize), _> =
         bincode::serde::decode_from_slice(bytes, bincode::config::standard());
     match decoded {
