--- /dev/null
+++ b/crates/yucca-emulator/src/bin/yucca-emulate.rs
@@ -0,0 +1,114 @@
+//! Plays a scenario before emulated engines and prints what each kind of requests got.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use anyhow::{Context, Result, bail};
+use lexopt::{Arg, Parser, ValueExt};
+use yucca_emulator::play::{Policy, play};
+use yucca_emulator::report;
+use yucca_emulator::scenario::Scenario;
+
+const USAGE: &str = "\
+yucca-emulate: plays a scenario before emulated engines, in virtual time
+
+usage: yucca-emulate SCENARIO [--policy NAME]... [--seeds N] [--svg FILE]
+
+  SCENARIO       what is played (INI); see docs/emulator.md
+  --policy NAME  hosts (default), least-in-flight, or least-in-flight:N with N engines that read
+  --seeds N      plays seeds 1 to N (default 1) and adds them up
+  --svg FILE     draws the first policy's answers in target over time, seed 1
+  -h, --help     prints this text";
+
+struct Arguments {
+    scenario: PathBuf,
+    policies: Vec<(String, Policy)>,
+    seeds: u64,
+    svg: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    match parse(Parser::from_env()) {
+        Ok(None) => {
+            println!("{USAGE}");
+            ExitCode::SUCCESS
+        }
+        Ok(Some(arguments)) => match run(&arguments) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(error) => fail(&error, 1),
+        },
+        Err(error) => fail(&error, 2),
+    }
+}
+
+fn fail(error: &anyhow::Error, code: u8) -> ExitCode {
+    eprintln!("yucca-emulate: {error:#}");
+    ExitCode::from(code)
+}
+
+fn parse(mut parser: Parser) -> Result<Option<Arguments>> {
+    let mut scenario = None;
+    let mut policies = Vec::new();
+    let (mut seeds, mut svg) = (1, None);
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Value(path) if scenario.is_none() => scenario = Some(PathBuf::from(path)),
+            Arg::Long("policy") => {
+                let name = parser.value()?.string()?;
+                let policy = parse_policy(&name)?;
+                policies.push((name, policy));
+            }
+            Arg::Long("seeds") => seeds = parser.value()?.parse()?,
+            Arg::Long("svg") => svg = Some(PathBuf::from(parser.value()?)),
+            Arg::Short('h') | Arg::Long("help") => return Ok(None),
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    let Some(scenario) = scenario else {
+        bail!("SCENARIO is missing");
+    };
+    if policies.is_empty() {
+        policies.push(("hosts".to_owned(), Policy::Hosts));
+    }
+    Ok(Some(Arguments {
+        scenario,
+        policies,
+        seeds,
+        svg,
+    }))
+}
+
+fn parse_policy(name: &str) -> Result<Policy> {
+    let (name, readers) = name.split_once(':').unwrap_or((name, "0"));
+    match name {
+        "hosts" => Ok(Policy::Hosts),
+        "least-in-flight" => Ok(Policy::LeastInFlight {
+            readers: readers.parse().context("number of engines that read")?,
+        }),
+        _ => bail!("{name:?} is no policy; expected hosts or least-in-flight"),
+    }
+}
+
+fn run(arguments: &Arguments) -> Result<()> {
+    let path = &arguments.scenario;
+    let text = std::fs::read_to_string(path).with_context(|| path.display().to_string())?;
+    let scenario = Scenario::parse(&path.display().to_string(), &text)?;
+    for (at, (name, policy)) in arguments.policies.iter().enumerate() {
+        let mut all = play(&scenario, 1, *policy)?;
+        if let Some(svg) = arguments.svg.as_ref().filter(|_| at == 0) {
+            report::draw(&scenario, &all, name, svg)?;
+        }
+        for seed in 2..=arguments.seeds {
+            let played = play(&scenario, seed, *policy)?;
+            all.add(played);
+        }
+        let summaries = report::summarize(&scenario, &all);
+        println!(
+            "{name}: worth {:.3}, {}",
+            report::worth(&scenario, &summaries),
+            all.work_text()
+        );
+        println!("{}\n", report::table(&scenario, &summaries));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/yucca-emulator/src/play.rs
@@ -0,0 +1,362 @@
+//! Plays a scenario in virtual time, with a policy that serves its requests.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Duration, Instant, sleep, sleep_until};
+use yucca_serve::config::{EngineSpec, Route, RouteKind, Service, ServingConfig, WeightedService};
+use yucca_serve::follow::{follow_back_ends, keep_contact};
+use yucca_serve::host::{Deployment, Host};
+use yucca_serve::peers;
+use yucca_serve::ports::{Answer, AnswerBody, BackEnds, Call, CallFault, Kind, Target};
+use yucca_serve::reply::Reply;
+use yucca_serve::request::Request;
+use yucca_serve::roles::{self, RoleLease};
+use yucca_serve::serve::serve;
+use yuccacove::code::Code;
+use yuccacove::prompt_placement::Phase;
+
+use crate::caller::{self, Result};
+use crate::engine::Counters;
+use crate::load::arrivals;
+use crate::pool::{Pool, zone_name};
+use crate::scenario::{Class, Scenario};
+use crate::store::MemoryStore;
+
+/// Time for hosts and engines to find each other before the traffic begins.
+const SET_UP: Duration = Duration::from_secs(14);
+/// Interval in which datagrams between hosts are delivered, and the time that they take.
+const DATAGRAMS: Duration = Duration::from_millis(10);
+/// Bound on changes of back ends and of the configuration.
+const CHANGE_MS: u64 = 2_000;
+/// Time for which a caller of the simple policy is asked to wait.
+const SIMPLE_RETRY_AFTER_MS: u64 = 250;
+
+/// Who decides where requests run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Policy {
+    /// The hosts of this project.
+    Hosts,
+    /// Each stage runs on the engine with the fewest requests in flight, and nothing is refused. The
+    /// given number of engines reads prompts all the time; with 0 each engine reads its own.
+    LeastInFlight {
+        /// Engines that read prompts.
+        readers: usize,
+    },
+}
+
+/// Outcome of a play.
+#[derive(Debug, Clone)]
+pub struct Played {
+    /// Requests in the order of their arrival.
+    pub results: Vec<Result>,
+    /// Work of all engines.
+    pub counters: Counters,
+    /// Engine time that there was, in milliseconds.
+    pub engine_ms: f64,
+}
+
+impl Played {
+    /// Adds the requests and the work of another play.
+    pub fn add(&mut self, other: Self) {
+        self.results.extend(other.results);
+        self.engine_ms += other.engine_ms;
+        self.counters.read_tokens += other.counters.read_tokens;
+        self.counters.kept_tokens += other.counters.kept_tokens;
+        self.counters.preempted += other.counters.preempted;
+        self.counters.busy_ms += other.counters.busy_ms;
+    }
+
+    /// The engines' work in one line.
+    pub fn work_text(&self) -> String {
+        let Counters {
+            read_tokens,
+            kept_tokens,
+            preempted,
+            busy_ms,
+        } = self.counters;
+        format!(
+            "engines busy {:.0}%, {read_tokens} prompt tokens read, {kept_tokens} kept or fetched, \
+             {preempted} preempted",
+            100.0 * busy_ms / self.engine_ms.max(1.0)
+        )
+    }
+}
+
+/// Plays a scenario to its end. The same scenario, seed and policy give the same outcome, but for
+/// choices among equals, which hosts draw at random.
+///
+/// # Errors
+///
+/// When no runtime can be made.
+pub fn play(scenario: &Scenario, seed: u64, policy: Policy) -> std::io::Result<Played> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()?;
+    Ok(LocalSet::new().block_on(&runtime, run(scenario, seed, policy)))
+}
+
+async fn run(scenario: &Scenario, seed: u64, policy: Policy) -> Played {
+    let store = MemoryStore::new();
+    let pool = Pool::spawn(&scenario.size, scenario.capacity, &store);
+    let service = match policy {
+        Policy::Hosts => serve_by_hosts(scenario, &pool, &store),
+        Policy::LeastInFlight { readers } => serve_simply(scenario, &pool, readers),
+    };
+    sleep(SET_UP).await;
+    let began = Instant::now();
+    let results = Rc::new(RefCell::new(Vec::new()));
+    let mut calls = Vec::new();
+    for (number, arrival) in arrivals(scenario, seed).into_iter().enumerate() {
+        sleep_until(began + Duration::from_secs_f64(arrival.at_ms / 1e3)).await;
+        let kind = scenario.kinds[arrival.kind].clone();
+        let (service, results) = (Rc::clone(&service), Rc::clone(&results));
+        calls.push(spawn_local(async move {
+            let result = caller::call(&kind, &arrival, number, &service).await;
+            results.borrow_mut().push(result);
+        }));
+    }
+    for call in calls {
+        // A call that panics has ended the play's thread already.
+        let _ = call.await;
+    }
+    let mut results = results.take();
+    results.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
+    Played {
+        results,
+        counters: pool.counters(),
+        engine_ms: began.elapsed().as_secs_f64() * 1e3 * scenario.size.engines as f64,
+    }
+}
+
+fn serve_by_hosts(scenario: &Scenario, pool: &Pool, store: &Rc<MemoryStore>) -> caller::Service {
+    let hosts: Vec<Rc<Host<Pool>>> = (0..scenario.hosts)
+        .map(|number| start_host(scenario, number, pool, store))
+        .collect();
+    spawn_local(carry_datagrams(hosts.clone()));
+    Rc::new(move |host, request| {
+        let host = Rc::clone(&hosts[host % hosts.len()]);
+        Box::pin(async move { serve(&host, request).await })
+    })
+}
+
+fn host_address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 3, (number / 250) as u8, (number % 250) as u8], 7_000))
+}
+
+fn start_host(
+    scenario: &Scenario,
+    number: usize,
+    pool: &Pool,
+    store: &Rc<MemoryStore>,
+) -> Rc<Host<Pool>> {
+    let deployment = Deployment {
+        name: format!("host-{number}"),
+        zone: zone_name(number, scenario.size.zones),
+        retry_ratio: 0.2,
+        retry_slack: 54.0,
+        drain_ms: CHANGE_MS,
+        config_ms: CHANGE_MS,
+        grace_ms: 8_000,
+        lease_ms: 3_000,
+    };
+    let name = deployment.name.clone();
+    let host = Rc::new(Host::new(deployment, pool.clone()));
+    host.set_config(config(scenario));
+    let contact = Rc::clone(&host.relay.contact);
+    let began = Instant::now();
+    let clock = move || u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let lease = Rc::new(RoleLease::new(&name, clock));
+    let observer = Rc::clone(&lease);
+    spawn_local(follow_back_ends(
+        Rc::clone(&host),
+        Rc::clone(store),
+        Rc::clone(&contact),
+    ));
+    spawn_local(peers::follow_hosts(
+        Rc::clone(&host),
+        Rc::clone(store),
+        Rc::clone(&contact),
+    ));
+    spawn_local(peers::register(
+        Rc::clone(&host),
+        Rc::clone(store),
+        host_address(number),
+    ));
+    spawn_local(keep_contact(
+        contact,
+        Rc::clone(store),
+        Kind::Leases,
+        roles::LEASE_NAME,
+        move |object| observer.observe(object),
+    ));
+    spawn_local(roles::keep_lease(Rc::clone(&lease), Rc::clone(store)));
+    spawn_local(roles::plan_roles(Rc::clone(&host), lease));
+    host
+}
+
+/// Delivers the hosts' datagrams after one interval.
+async fn carry_datagrams(hosts: Vec<Rc<Host<Pool>>>) {
+    let by_address: HashMap<SocketAddr, usize> = (0..hosts.len())
+        .map(|number| (host_address(number), number))
+        .collect();
+    let mut under_way = Vec::new();
+    loop {
+        sleep(DATAGRAMS).await;
+        let arrived: Vec<peers::Outgoing> = std::mem::take(&mut under_way);
+        for outgoing in arrived {
+            for host in outgoing
+                .to
+                .iter()
+                .filter_map(|address| by_address.get(address))
+            {
+                peers::receive(&hosts[*host], &outgoing.bytes);
+            }
+        }
+        for host in &hosts {
+            under_way.extend(peers::due(host));
+        }
+    }
+}
+
+fn config(scenario: &Scenario) -> ServingConfig {
+    let routes = scenario.kinds.iter().map(|kind| Route {
+        name: kind.name.clone(),
+        host: "play.example".to_owned(),
+        path_prefix: format!("/{}/", kind.name),
+        kind: match kind.class {
+            Class::Stream => RouteKind::Stream { is_resumable: true },
+            Class::Read => RouteKind::Idempotent,
+            Class::Order => RouteKind::AtMostOnce,
+        },
+        timeout_ms: kind.deadline_ms,
+        target_ms: kind.target_ms,
+        target_gap_ms: kind.gap_ms,
+        urgency: kind.urgency,
+        services: vec![WeightedService {
+            service: match kind.class {
+                Class::Stream => "model".to_owned(),
+                Class::Read | Class::Order => "desk".to_owned(),
+            },
+            weight: 1,
+        }],
+        max_attempts: 2,
+    });
+    let engine = EngineSpec {
+        slots: scenario.capacity.slots,
+        tokens_per_event: scenario.size.tokens_per_event,
+        kv_tokens: scenario.capacity.kv_tokens,
+        token_kv_bytes: scenario.capacity.token_kv_bytes,
+        handle_ttl_ms: 5_000,
+        switch_ms: scenario.capacity.switch_ms as u64,
+    };
+    let services = [("model", Some(engine)), ("desk", None)];
+    ServingConfig {
+        version: 1,
+        routes: routes.collect(),
+        services: IndexMap::from(services.map(|(name, engine)| {
+            let service = Service {
+                max_connections: 500,
+                engine,
+            };
+            (name.to_owned(), service)
+        })),
+        ..ServingConfig::default()
+    }
+}
+
+/// The simple policy, which knows the engines' requests as of now.
+struct Simple {
+    pool: Pool,
+    servers: Vec<Target>,
+    next_server: Cell<usize>,
+}
+
+fn serve_simply(scenario: &Scenario, pool: &Pool, readers: usize) -> caller::Service {
+    for number in 0..readers.min(scenario.size.engines.saturating_sub(1)) {
+        pool.set_phase(&format!("engine-{number}"), Phase::Prefill);
+    }
+    let servers = (0..scenario.size.servers).map(|number| Target {
+        id: Rc::from(format!("server-{number}")),
+        address: SocketAddr::from(([10, 2, 0, number as u8], 80)),
+    });
+    let simple = Rc::new(Simple {
+        pool: pool.clone(),
+        servers: servers.collect(),
+        next_server: Cell::new(0),
+    });
+    Rc::new(move |_, request| {
+        let simple = Rc::clone(&simple);
+        Box::pin(async move { simple.serve(request).await })
+    })
+}
+
+impl Simple {
+    fn least(&self, phase: Phase) -> Option<Target> {
+        let engines = self.pool.engines(phase);
+        let (name, _) = engines.into_iter().min_by_key(|(_, requests)| *requests)?;
+        self.pool.target(&name)
+    }
+
+    fn server(&self) -> Option<Target> {
+        let next = self.next_server.get();
+        self.next_server.set(next + 1);
+        self.servers.get(next % self.servers.len().max(1)).cloned()
+    }
+
+    async fn serve(&self, request: Request) -> Reply {
+        match self.run(request).await {
+            Ok(answer) => stream_reply(answer),
+            Err(_) => Reply::refusal(Code::NoBackend, Some(SIMPLE_RETRY_AFTER_MS)),
+        }
+    }
+
+    async fn run(
+        &self,
+        request: Request,
+    ) -> std::result::Result<Answer<<Pool as BackEnds>::Body>, CallFault> {
+        let nowhere = || CallFault::NotSent("no back end".to_owned());
+        let mut call = Call {
+            left_ms: request.deadline_ms.unwrap_or(u64::MAX),
+            urgency: 0,
+            resume_after: None,
+            is_repeatable: true,
+            prompt: None,
+            fetch_from: None,
+        };
+        if request.prompt.is_none() {
+            let server = self.server().ok_or_else(nowhere)?;
+            return self.pool.run(&server, &request, call).await;
+        }
+        if let Some(reader) = self.least(Phase::Prefill) {
+            call.prompt = Some(
+                self.pool
+                    .read_prompt(&reader, &request, call.clone())
+                    .await?,
+            );
+        }
+        let engine = self.least(Phase::Decode).ok_or_else(nowhere)?;
+        self.pool.run(&engine, &request, call).await
+    }
+}
+
+/// Passes the chunks of an answer on.
+fn stream_reply<B: AnswerBody + 'static>(answer: Answer<B>) -> Reply {
+    const AHEAD: usize = 16;
+    let (tell, chunks) = tokio::sync::mpsc::channel(AHEAD);
+    let mut body = answer.body;
+    spawn_local(async move {
+        while let Some(chunk) = body.chunk().await {
+            let chunk = chunk.map_err(|_| yucca_serve::reply::Interrupted);
+            if tell.send(chunk).await.is_err() {
+                return;
+            }
+        }
+    });
+    Reply::streamed(answer.head, chunks)
+}
