--- a/crates/yucca-serve/tests/common/mod.rs
+++ b/crates/yucca-serve/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(
     dead_code,
+    unused_imports,
     reason = "each test file is a program of its own and uses a part of this"
 )]
 
