--- a/crates/yucca-serve/src/relay.rs
+++ b/crates/yucca-serve/src/relay.rs
@@ -35,7 +35,7 @@
 /// The same for the interval in which a watching host asks the store whether it answers.
 const CONTACT_SHARE: f64 = 0.15;
 /// The same for the interval in which it tells of its claims.
-const CLAIM_SHARE: f64 = 0.1;
+const CLAIM_SHARE: f64 = 0.15;
 /// Longest time for which a host waits before it joins a group that lacks a watching one, as a
 /// multiple of the bound. The hosts' waits are spread over it.
 const STAGGER_FACTOR: f64 = 1.5;
