Drop what a watching host is told of the store

It drops them now, and a host that relies on others keeps at most 64 of a kind. relay_keeps_nothing_untaken fails before. The log lines of a change of roles name what decided it.

--- a/crates/yucca-serve/src/relay.rs
+++ b/crates/yucca-serve/src/relay.rs
@@ -27,6 +27,8 @@
 const MAX_OBJECT_BYTES: usize = 320;
 /// Most datagrams for the changes of one watch. The hosts ask the store themselves for more.
 const MAX_BATCHES: usize = 16;
+/// Most datagrams of a kind that wait to be taken.
+const MAX_WAITING: usize = 4 * MAX_BATCHES;
 /// How often each change is sent.
 const SENDS: u32 = 3;
 /// Part of the strictest bound on changes for which a watching host is relied on after its contact
@@ -130,6 +132,11 @@
         !self.outbox.borrow().is_empty()
     }
 
+    /// Datagrams with changes that were received and not taken yet.
+    pub fn waiting(&self) -> usize {
+        self.inbox.borrow().iter().map(VecDeque::len).sum()
+    }
+
     /// Whether this host watches for the group and says so.
     pub fn is_relay(&self) -> bool {
         self.is_watching() && self.fresh_age_ms().is_some()
@@ -185,8 +192,14 @@
         self.relays
             .borrow_mut()
             .heard(sender, age_ms, claims, now_ms);
-        if let Some(batch) = batch.filter(|batch| batch.kind < KINDS) {
-            self.inbox.borrow_mut()[batch.kind].push_back(batch);
+        // A host that watches learns of the changes itself and would never take them out.
+        let is_wanted = |batch: &Batch| batch.kind < KINDS && !self.is_watching();
+        if let Some(batch) = batch.filter(is_wanted) {
+            let inbox = &mut self.inbox.borrow_mut()[batch.kind];
+            inbox.push_back(batch);
+            // Changes that are lost are made up for by a watch.
+            let excess = inbox.len().saturating_sub(MAX_WAITING);
+            inbox.drain(..excess);
         }
         self.turns.send_modify(|turn| *turn += 1);
     }
@@ -288,7 +301,8 @@
             } else {
                 Event::RelayEnded
             };
-            log::write(event, "");
+            let fresh = self.relays.borrow().fresh(self.now_ms());
+            log::write(event, &format!("rank={:x} fresh={fresh}", self.rank));
         }
         let interval_ms = is_watching.then_some(self.contact_ms);
         self.contact.set_interval_ms(interval_ms);
--- a/crates/yucca-serve/tests/relay.rs
+++ b/crates/yucca-serve/tests/relay.rs
@@ -291,6 +291,23 @@
     });
 }
 
+/// Hosts that watch must not gather what others tell them; it would grow for as long as they run.
+#[test]
+fn relay_keeps_nothing_untaken() {
+    run_virtual(async {
+        let group = Group::spawn(5, 0.0, 1);
+        wait_ms(9_000).await;
+        for _ in 0..40 {
+            group.add_back_end();
+            wait_ms(300).await;
+        }
+        wait_ms(2_000).await;
+        for member in group.members.iter() {
+            assert_eq!(member.host.relay.waiting(), 0);
+        }
+    });
+}
+
 /// What goes wrong with hosts that watch.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Trouble {
--- a/src/watch_relay.rs
+++ b/src/watch_relay.rs
@@ -110,6 +110,12 @@
         self.is_watching
     }
 
+    /// Other hosts that watch and were in contact with the store a moment ago.
+    pub fn fresh(&self, now_ms: u64) -> usize {
+        let heard = self.heard.values();
+        heard.filter(|heard| heard.fresh_until_ms > now_ms).count()
+    }
+
     /// Whether a host that knows the objects of kind `kind` as of `revision` learns of further
     /// changes from others. Of claims that differ the strictest counts.
     pub fn covers(&self, kind: usize, revision: u64, now_ms: u64) -> bool {
