--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -100,13 +100,19 @@
 
 /// The engines for the request, once there is room for it.
 async fn choose_admitted<B: BackEnds>(job: &Job<B>) -> Result<EngineChoice, Box<Reply>> {
+    let mut is_held = false;
     loop {
         let Some(choice) = choose_engines(job) else {
             return Err(Box::new(job.refuse(Code::NoBackend)));
         };
         match admit(job, &choice) {
             Verdict::Admit => return Ok(choice),
-            Verdict::Hold => sleep(HOLD_INTERVAL).await,
+            Verdict::Hold => {
+                if !std::mem::replace(&mut is_held, true) {
+                    log_held(job, &choice);
+                }
+                sleep(HOLD_INTERVAL).await;
+            }
             Verdict::Refuse { retry_after_ms } => {
                 let reply = job.refuse_until(Code::DeadlineUnreachable, retry_after_ms);
                 return Err(Box::new(reply));
@@ -115,6 +121,21 @@
     }
 }
 
+fn log_held<B: BackEnds>(job: &Job<B>, choice: &EngineChoice) {
+    log::write(
+        Event::Held,
+        &format!(
+            "request={} route={} engine_use={:.2} reading_ms={:.0} urgent_target_ms={:?} left_ms={}",
+            job.request.id,
+            job.route.name,
+            choice.decode_use,
+            choice.reading_ms,
+            job.urgent_target_ms,
+            job.left_ms()
+        ),
+    );
+}
+
 /// Has the prompt read by another engine if that was chosen. `None` when the engines are to be chosen
 /// again.
 async fn read_apart<B: BackEnds>(
--- a/src/event.rs
+++ b/src/event.rs
@@ -46,6 +46,7 @@
     Retried = 205, "retried", "A request is sent again to another back end.";
     Cancelled = 206, "cancelled", "The caller went away and the work was cancelled.";
     Resumed = 207, "resumed", "A stream continues on another connection or engine.";
+    Held = 208, "held", "A request waits in the host until engines have room or a shorter queue.";
     BackendFailed = 301, "backend_failed", "A back end failed a request.";
     BackendEjected = 302, "backend_ejected", "A back end gets no work after repeated failures.";
     BackendReturned = 303, "backend_returned", "An ejected back end gets work again.";
