Use one type for an engine's report

yucca-entry's probe had a copy of the report that yucca-io decodes for yucca-control. No change in behaviour; all tests of yucca-entry pass.

--- a/crates/yucca-entry/src/fleet.rs
+++ b/crates/yucca-entry/src/fleet.rs
@@ -6,6 +6,7 @@
 
 use indexmap::IndexMap;
 use yucca_io::clock::boot_ms;
+use yucca_io::http_client::EngineReport;
 use yuccacove::catalogue::{Admin, Catalogue, Object};
 use yuccacove::health::Pool;
 use yuccacove::routing::{
@@ -14,7 +15,6 @@
 use yuccacove::slot_limit::{self, PoolLoad, START_ENGINE_SLOTS};
 
 use crate::fleet_state::{FleetState, log_transition};
-use crate::probe::EngineStatus;
 use crate::usage::ChatCharge;
 
 /// A request that needs an engine.
@@ -138,7 +138,7 @@
         &self,
         catalogue: &Arc<Catalogue>,
         name: &str,
-        report: Result<EngineStatus, String>,
+        report: Result<EngineReport, String>,
     ) {
         let now_ms = boot_ms();
         let mut inner = self.lock();
--- a/crates/yucca-entry/src/fleet_state.rs
+++ b/crates/yucca-entry/src/fleet_state.rs
@@ -6,6 +6,7 @@
 
 use indexmap::IndexMap;
 use yucca_io::clock::boot_ms;
+use yucca_io::http_client::{self, EngineReport};
 use yucca_io::log;
 use yuccacove::catalogue::{Admin, Catalogue, Engine, Object, Service};
 use yuccacove::event::Event;
@@ -15,14 +16,13 @@
 use yuccacove::subset::{self, SUBSET_ENGINES};
 
 use crate::fleet::{ChosenEngine, Need, request};
-use crate::probe::{self, EngineStatus};
 
 /// An engine with its place in the router.
 pub struct EngineSlot {
     pub(crate) key: EngineKey,
     pub(crate) address: SocketAddr,
     pub(crate) state: EngineState,
-    pub(crate) report: Option<EngineStatus>,
+    pub(crate) report: Option<EngineReport>,
 }
 
 /// A back end with its place in a health pool.
@@ -317,7 +317,7 @@
 /// An engine with an open intent is about to change and takes no new work. A confirmed intent is
 /// the record: an engine that reports another state was ordered without authority and gets no work
 /// until it is ordered back. Without any intent the engine's own report counts.
-fn engine_state(service: &Service, engine: &Engine, report: Option<&EngineStatus>) -> EngineState {
+fn engine_state(service: &Service, engine: &Engine, report: Option<&EngineReport>) -> EngineState {
     let (model, version, role, is_open) = match &engine.intent {
         Some(intent) => {
             let spec = &intent.spec;
@@ -329,7 +329,7 @@
         },
     };
     let differs = report.is_some_and(|r| {
-        r.state != probe::EngineState::Ready || r.model != *model || r.version != *version
+        r.state != http_client::EngineState::Ready || r.model != *model || r.version != *version
     });
     EngineState {
         service: engine.service.clone(),
--- a/crates/yucca-entry/src/probe.rs
+++ b/crates/yucca-entry/src/probe.rs
@@ -7,60 +7,20 @@
 use http::header::HOST;
 use http::{Method, Request};
 use http_body_util::{BodyExt, Full, Limited};
-use serde::Deserialize;
 use tokio::time::timeout;
-use yuccacove::catalogue::Role;
 
 use yucca_io::connections::Connection;
+use yucca_io::http_client::EngineReport;
 
 /// Largest status report.
 const MAX_STATUS_BYTES: usize = 64 * 1_024;
 
-/// Whether an engine takes work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum EngineState {
-    /// Takes work.
-    Ready,
-    /// Loads a model or changes its role.
-    Changing,
-}
-
-/// An engine's report about itself; the load figures lag by `age_ms`.
-#[derive(Debug, Clone, Deserialize)]
-pub struct EngineStatus {
-    /// Model that the engine holds.
-    pub model: String,
-    /// Version of the model.
-    pub version: String,
-    /// Role.
-    pub role: Role,
-    /// Whether it takes work.
-    pub state: EngineState,
-    /// Requests in the running batch.
-    pub running: u64,
-    /// Requests in the queue.
-    pub waiting: u64,
-    /// Prompt tokens not yet processed.
-    #[serde(default)]
-    pub prefill_backlog_tokens: u64,
-    /// Output tokens not yet generated.
-    #[serde(default)]
-    pub decode_backlog_tokens: u64,
-    /// Age of the load figures.
-    #[serde(default)]
-    pub age_ms: u64,
-    /// Differs after each restart.
-    #[serde(default)]
-    pub incarnation: u64,
-}
-
 /// Asks the engine at `address` for its status on a fresh connection.
 ///
 /// # Errors
 ///
 /// A text for people when no readable report arrives within `limit_ms`.
-pub async fn status(address: SocketAddr, limit_ms: u64) -> Result<EngineStatus, String> {
+pub async fn status(address: SocketAddr, limit_ms: u64) -> Result<EngineReport, String> {
     let (status, body) = call(Method::GET, "/v1/status", address, limit_ms).await?;
     if status != 200 {
         return Err(format!("status {status}"));
--- a/crates/yucca-entry/tests/decisions.rs
+++ b/crates/yucca-entry/tests/decisions.rs
@@ -6,9 +6,10 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use common::{
-    Call, Fake, FakeStore, Step, answer, done, engine, sse_head, status_of, stream, streamed_text,
-    text, token, until,
+    Call, Fake, FakeStore, Reply, Running, Step, answer, done, engine, sse_head, status_of, stream,
+    streamed_text, text, token, until,
 };
+use tokio::task::JoinHandle;
 use yuccacove::slot_limit::START_ENGINE_SLOTS as ENGINE_SLOTS;
 
 /// An engine that crashes at prompts with "poison" and comes back with another incarnation.
@@ -57,6 +58,20 @@
     }
 }
 
+/// Sends as many requests as the engine takes and waits until it has them all.
+async fn fill(daemon: &Arc<Running>, llm: &Fake, body: &str) -> Vec<JoinHandle<Reply>> {
+    let call = |_| {
+        let (daemon, body) = (Arc::clone(daemon), body.to_owned());
+        tokio::spawn(async move { daemon.call("POST", "/v1/chat/completions", &[], body).await })
+    };
+    let running = (0..ENGINE_SLOTS).map(call).collect();
+    until("full engine", || {
+        llm.count("POST", "/v1/chat") == ENGINE_SLOTS
+    })
+    .await;
+    running
+}
+
 /// Background work that fills the engine must make room for an urgent request, and must still end
 /// whole.
 #[tokio::test]
@@ -80,18 +95,7 @@
             .await,
     );
     let body = common::chat_body("batch", true).replace("\"max_tokens\":8", "\"max_tokens\":8000");
-    let running: Vec<_> = (0..ENGINE_SLOTS)
-        .map(|_| {
-            let (daemon, body) = (Arc::clone(&daemon), body.clone());
-            tokio::spawn(
-                async move { daemon.call("POST", "/v1/chat/completions", &[], body).await },
-            )
-        })
-        .collect();
-    until("full engine", || {
-        llm.count("POST", "/v1/chat") == ENGINE_SLOTS
-    })
-    .await;
+    let running = fill(&daemon, &llm, &body).await;
     assert_eq!(streamed_text(&daemon.chat(true).await.body), text(3));
     assert_eq!(llm.count("DELETE", "/v1/requests/"), 1);
     may_end.store(true, Ordering::SeqCst);
@@ -124,18 +128,7 @@
             .await,
     );
     let body = common::chat_body("ask", true).replace("\"max_tokens\":8", "\"max_tokens\":8000");
-    let running: Vec<_> = (0..ENGINE_SLOTS)
-        .map(|_| {
-            let (daemon, body) = (Arc::clone(&daemon), body.clone());
-            tokio::spawn(
-                async move { daemon.call("POST", "/v1/chat/completions", &[], body).await },
-            )
-        })
-        .collect();
-    until("full engine", || {
-        llm.count("POST", "/v1/chat") == ENGINE_SLOTS
-    })
-    .await;
+    let running = fill(&daemon, &llm, &body).await;
     let refused = daemon
         .call("POST", "/v1/chat/completions", &[], body.clone())
         .await;
