--- a/crates/yucca-emulator/src/engine.rs
+++ b/crates/yucca-emulator/src/engine.rs
@@ -225,6 +225,11 @@
         self.running.len() + self.waiting.len()
     }
 
+    /// Read prompts that wait to be fetched.
+    pub fn held_prompts(&self) -> usize {
+        self.handles.len()
+    }
+
     /// Whether it holds a prompt that was read under `handle`.
     pub fn holds(&self, handle: WorkId) -> bool {
         self.handles.contains_key(&handle)
--- a/crates/yucca-emulator/src/lib.rs
+++ b/crates/yucca-emulator/src/lib.rs
@@ -21,6 +21,7 @@
 //! assert_eq!(now_ms.round(), 234.0);
 //! ```
 
+pub mod answer;
 pub mod caller;
 pub mod engine;
 pub mod load;
--- a/crates/yucca-emulator/src/play.rs
+++ b/crates/yucca-emulator/src/play.rs
@@ -281,13 +281,9 @@
     for number in 0..readers.min(scenario.size.engines.saturating_sub(1)) {
         pool.set_phase(&format!("engine-{number}"), Phase::Prefill);
     }
-    let servers = (0..scenario.size.servers).map(|number| Target {
-        id: Rc::from(format!("server-{number}")),
-        address: SocketAddr::from(([10, 2, 0, number as u8], 80)),
-    });
     let simple = Rc::new(Simple {
         pool: pool.clone(),
-        servers: servers.collect(),
+        servers: pool.servers(),
         next_server: Cell::new(0),
     });
     Rc::new(move |_, request| {
--- a/crates/yucca-emulator/src/pool.rs
+++ b/crates/yucca-emulator/src/pool.rs
@@ -14,12 +14,13 @@
 use tokio::task::spawn_local;
 use tokio::time::{Duration, Instant, sleep, sleep_until};
 use yucca_serve::ports::{
-    Answer, AnswerBody, BackEnds, Call, CallFault, EngineReport, Kind, OrderReply, PhaseOrder,
-    PromptHandle, Target,
+    Answer, BackEnds, Call, CallFault, EngineReport, Kind, OrderReply, PhaseOrder, PromptHandle,
+    Target,
 };
 use yucca_serve::request::{Prompt, Request};
 use yuccacove::prompt_placement::Phase;
 
+use crate::answer::{Body, Events};
 use crate::engine::{Capacity, Counters, Engine, Work, WorkId};
 use crate::store::MemoryStore;
 
@@ -35,19 +36,19 @@
 }
 
 #[derive(Debug)]
-struct Inner {
-    engines: IndexMap<String, EngineNode>,
-    servers: HashMap<String, ServerNode>,
+pub(crate) struct Inner {
+    pub(crate) engines: IndexMap<String, EngineNode>,
+    servers: IndexMap<String, ServerNode>,
     capacity: Capacity,
-    tokens_per_event: u32,
+    pub(crate) tokens_per_event: u32,
     next_work: Cell<WorkId>,
 }
 
 #[derive(Debug)]
-struct EngineNode {
+pub(crate) struct EngineNode {
     address: SocketAddr,
     entry: RefCell<Value>,
-    state: RefCell<EngineState>,
+    pub(crate) state: RefCell<EngineState>,
     work: Notify,
     began: Instant,
     /// When its link is free again.
@@ -55,20 +56,20 @@
 }
 
 #[derive(Debug)]
-struct EngineState {
-    engine: Engine,
-    waiters: HashMap<WorkId, Waiter>,
+pub(crate) struct EngineState {
+    pub(crate) engine: Engine,
+    pub(crate) waiters: HashMap<WorkId, Waiter>,
 }
 
 /// Who waits for work of an engine.
 #[derive(Debug)]
-enum Waiter {
+pub(crate) enum Waiter {
     Read(oneshot::Sender<bool>),
     Run(mpsc::UnboundedSender<Progress>),
 }
 
 #[derive(Debug, Clone, Copy)]
-enum Progress {
+pub(crate) enum Progress {
     Token { number: u32, is_last: bool },
     NotRun,
 }
@@ -121,9 +122,9 @@
             };
             engines.insert(format!("engine-{number}"), node);
         }
-        let mut servers = HashMap::new();
+        let mut servers = IndexMap::new();
         for number in 0..size.servers {
-            let address = SocketAddr::from(([10, 2, 0, number as u8], 80));
+            let address = server_address(number);
             let entry = json!({
                 "service": "desk", "address": address.to_string(), "started": 1,
                 "zone": zone_name(number, size.zones),
@@ -167,6 +168,25 @@
         sum
     }
 
+    /// Read prompts that wait to be fetched, on all engines.
+    pub fn held_prompts(&self) -> usize {
+        let nodes = self.inner.engines.values();
+        nodes
+            .map(|node| node.state.borrow().engine.held_prompts())
+            .sum()
+    }
+
+    /// What calls to the plain servers are sent to.
+    pub fn servers(&self) -> Vec<Target> {
+        let names = self.inner.servers.keys().enumerate();
+        names
+            .map(|(number, name)| Target {
+                id: Rc::from(name.as_str()),
+                address: server_address(number),
+            })
+            .collect()
+    }
+
     /// Names of the engines in a phase, with the requests on each.
     pub fn engines(&self, phase: Phase) -> Vec<(String, usize)> {
         let nodes = self.inner.engines.iter();
@@ -195,6 +215,10 @@
     }
 }
 
+fn server_address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 2, (number / 250) as u8, (number % 250) as u8], 80))
+}
+
 /// Name of the availability zone of the back end or host `number`.
 pub fn zone_name(number: usize, zones: usize) -> String {
     format!("zone-{}", number % zones.max(1))
@@ -309,9 +333,12 @@
         let mut state = node.state.borrow_mut();
         let outcome = state.engine.apply(&step, now_ms);
         for id in outcome.read {
-            if let Some(Waiter::Read(tell)) = state.waiters.remove(&id) {
-                // The handle lapses if whoever waited has left.
-                let _ = tell.send(true);
+            let Some(Waiter::Read(tell)) = state.waiters.remove(&id) else {
+                continue;
+            };
+            if tell.send(true).is_err() {
+                // Whoever waited has left, and nobody else knows the handle.
+                state.engine.take_handle(id);
             }
         }
         for (id, number, is_last) in outcome.tokens {
@@ -337,72 +364,6 @@
         .collect()
 }
 
-/// Body of an emulated answer; dropping it ends the work.
-#[derive(Debug)]
-pub enum Body {
-    /// Bytes of a plain server.
-    Whole(Option<Bytes>),
-    /// Events of an engine.
-    Events(Events),
-}
-
-/// Events of a generation.
-#[derive(Debug)]
-pub struct Events {
-    pool: Rc<Inner>,
-    engine: Rc<str>,
-    id: WorkId,
-    progress: mpsc::UnboundedReceiver<Progress>,
-    event: u64,
-    is_over: bool,
-}
-
-impl Drop for Events {
-    fn drop(&mut self) {
-        if self.is_over {
-            return;
-        }
-        let node = &self.pool.engines[&*self.engine];
-        let mut state = node.state.borrow_mut();
-        state.engine.cancel(self.id);
-        state.waiters.remove(&self.id);
-    }
-}
-
-impl Events {
-    async fn next(&mut self) -> Option<Result<Bytes, String>> {
-        if self.is_over {
-            return None;
-        }
-        let stride = self.pool.tokens_per_event.max(1);
-        loop {
-            match self.progress.recv().await {
-                Some(Progress::Token { number, is_last }) => {
-                    self.is_over = is_last;
-                    if is_last || number.is_multiple_of(stride) || number == 1 {
-                        self.event += 1;
-                        let text = format!("id: {0}\ndata: {number}\n\n", self.event);
-                        return Some(Ok(Bytes::from(text)));
-                    }
-                }
-                Some(Progress::NotRun) | None => {
-                    self.is_over = true;
-                    return Some(Err("the engine gave the work up".to_owned()));
-                }
-            }
-        }
-    }
-}
-
-impl AnswerBody for Body {
-    async fn chunk(&mut self) -> Option<Result<Bytes, String>> {
-        match self {
-            Self::Whole(bytes) => bytes.take().map(Ok),
-            Self::Events(events) => events.next().await,
-        }
-    }
-}
-
 fn head() -> Parts {
     let mut response = Response::new(());
     *response.status_mut() = StatusCode::OK;
@@ -455,34 +416,24 @@
         let output = output.and_then(|value| value.to_str().ok()?.parse().ok());
         let output: u32 = output.unwrap_or(prompt.max_output_tokens);
         let id = pool.new_work();
-        let (tell, mut progress) = mpsc::unbounded_channel();
+        let (tell, progress) = mpsc::unbounded_channel();
         let work = Work::generate(id, &parts, output.max(1), fetched, call.urgency);
         node.submit(work, id, Waiter::Run(tell));
         let mut events = Events {
             pool: Rc::clone(pool),
             engine: Rc::clone(&to.id),
             id,
-            progress: mpsc::unbounded_channel().1,
+            progress,
+            first: None,
             event: 0,
             is_over: false,
         };
         // An answer's head comes with its first token.
-        let first = progress.recv().await;
-        let Some(Progress::Token { number, is_last }) = first else {
+        events.first = events.progress.recv().await;
+        if !matches!(events.first, Some(Progress::Token { .. })) {
             events.is_over = true;
             return Err(refused);
-        };
-        let (again, with_first) = mpsc::unbounded_channel();
-        // The receiver is at hand.
-        let _ = again.send(Progress::Token { number, is_last });
-        spawn_local(async move {
-            while let Some(next) = progress.recv().await {
-                if again.send(next).is_err() {
-                    return;
-                }
-            }
-        });
-        events.progress = with_first;
+        }
         Ok(Answer {
             head: head(),
             body: Body::Events(events),
--- /dev/null
+++ b/crates/yucca-emulator/tests/pool.rs
@@ -0,0 +1,70 @@
+//! Guards emulated back ends against keeping what nobody will fetch.
+
+use std::rc::Rc;
+
+use tokio::task::LocalSet;
+use tokio::time::{Duration, sleep, timeout};
+use yucca_emulator::engine::Capacity;
+use yucca_emulator::pool::{FleetSize, Pool};
+use yucca_emulator::store::MemoryStore;
+use yucca_serve::ports::{BackEnds, Call};
+use yucca_serve::request::{Prompt, PromptPart, Request};
+use yuccacove::prompt_placement::Phase;
+
+const TOKENS: u32 = 12_000;
+
+fn request() -> Request {
+    Request {
+        prompt: Some(Prompt {
+            tokens: TOKENS,
+            parts: vec![PromptPart {
+                id: 1,
+                tokens: TOKENS,
+            }],
+            ..Prompt::default()
+        }),
+        ..Request::default()
+    }
+}
+
+/// A caller that leaves while its prompt is read must leave no memory taken, which overloads would
+/// use up.
+#[test]
+fn pool_frees_prompt_of_caller_that_left() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let size = FleetSize {
+            engines: 1,
+            zones: 1,
+            servers: 0,
+            server_slots: 1,
+            server_work_ms: 1,
+            tokens_per_event: 9,
+        };
+        let store: Rc<MemoryStore> = MemoryStore::new();
+        let pool = Pool::spawn(&size, Capacity::default(), &store);
+        pool.set_phase("engine-0", Phase::Prefill);
+        sleep(Duration::from_secs(5)).await;
+        let target = pool.target("engine-0").expect("an engine");
+        let call = Call {
+            left_ms: 1_000,
+            urgency: 0,
+            resume_after: None,
+            is_repeatable: true,
+            prompt: None,
+            fetch_from: None,
+        };
+        let request = request();
+        let read = pool.read_prompt(&target, &request, call.clone());
+        assert!(timeout(Duration::from_millis(50), read).await.is_err());
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(pool.held_prompts(), 0);
+        let kept = pool.read_prompt(&target, &request, call).await;
+        assert!(kept.is_ok(), "{kept:?}");
+        assert_eq!(pool.held_prompts(), 1);
+    });
+}
