Count the calls to the store by operation, kind and outcome

Change: CountedStore counts each call; the metrics serve the counts, and an event every 10 s logs those since the last line. Listings can be requested as stale, which nothing uses yet.

--- a/crates/yucca-emulator/src/store.rs
+++ b/crates/yucca-emulator/src/store.rs
@@ -139,7 +139,10 @@
 }
 
 impl ObjectStore for MemoryStore {
-    async fn list(&self, kind: Kind) -> Result<Objects, StoreFault> {
+    async fn list(&self, kind: Kind, freshness: Freshness) -> Result<Objects, StoreFault> {
+        if freshness == Freshness::MayLag {
+            self.lagging_calls.set(self.lagging_calls.get() + 1);
+        }
         self.begin_call().await?;
         let mut objects = self.of_kind(kind, 0);
         objects.retain(|o| !o.is_removed);
--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -260,7 +260,7 @@
                 continue;
             }
             let result = match since {
-                None => self.store.list(self.kind).await,
+                None => self.store.list(self.kind, Freshness::Latest).await,
                 Some(revision) => tokio::select! {
                     result = self.watch(revision) => result,
                     // The sender lives as long as `store_health`.
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -39,4 +39,5 @@
 pub mod request;
 pub mod roles;
 pub mod serve;
+pub mod store_calls;
 pub mod stream;
--- a/crates/yucca-serve/src/metrics.rs
+++ b/crates/yucca-serve/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of a host: counters and latency histograms.
 
+use std::rc::Rc;
+
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -8,6 +10,8 @@
 use prometheus_client::registry::{Registry, Unit};
 use yuccacove::code::Code;
 
+use crate::store_calls::StoreCalls;
+
 /// Upper bounds of the histogram buckets, close to the usual targets for latency and for gaps
 /// between events.
 const BUCKETS_S: [f64; 12] = [
@@ -33,6 +37,8 @@
     pub requests: Counter,
     /// Retries, that is attempts after the first one of a request.
     pub retries: Counter,
+    /// Calls to the object store.
+    pub store_calls: Rc<StoreCalls>,
     refused: Family<ByCode, Counter>,
     failed: Family<ByCode, Counter>,
     response_s: HistogramByUrgency,
@@ -46,6 +52,7 @@
         Self {
             requests: Counter::default(),
             retries: Counter::default(),
+            store_calls: Rc::default(),
             refused: Family::default(),
             failed: Family::default(),
             response_s: histograms(),
@@ -92,6 +99,11 @@
         let mut registry = Registry::with_prefix("yucca");
         registry.register("requests", "Requests received", self.requests.clone());
         registry.register("retries", "Second sends to back ends", self.retries.clone());
+        registry.register(
+            "store_calls",
+            "Calls to the object store",
+            self.store_calls.total.clone(),
+        );
         registry.register("refused", "Requests that did not run", self.refused.clone());
         registry.register(
             "failed",
--- a/crates/yucca-serve/src/ports.rs
+++ b/crates/yucca-serve/src/ports.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::response::Parts;
+use prometheus_client::encoding::EncodeLabelValue;
 use serde_json::Value;
 
 use crate::config::ServingConfig;
@@ -12,7 +13,7 @@
 use crate::request::Request;
 
 /// Kinds of store objects that a host uses.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum Kind {
     /// The configuration, which is a single object.
     Config,
@@ -75,8 +76,8 @@
 /// Client of the platform's object store.
 #[expect(async_fn_in_trait, reason = "all users run on the host's one thread")]
 pub trait ObjectStore {
-    /// Returns all objects of a kind in their latest state.
-    async fn list(&self, kind: Kind) -> Result<Objects, StoreFault>;
+    /// Returns all objects of a kind as of one revision, which is `Objects::revision`.
+    async fn list(&self, kind: Kind, freshness: Freshness) -> Result<Objects, StoreFault>;
 
     /// Waits up to `wait_ms` for changes of a kind after the revision `since` and returns them; the
     /// result has no objects if there were none.
--- a/crates/yucca-serve/tests/relay.rs
+++ b/crates/yucca-serve/tests/relay.rs
@@ -43,9 +43,9 @@
 }
 
 impl ObjectStore for Link {
-    async fn list(&self, kind: Kind) -> Result<Objects, StoreFault> {
+    async fn list(&self, kind: Kind, freshness: Freshness) -> Result<Objects, StoreFault> {
         self.check().await?;
-        self.store.list(kind).await
+        self.store.list(kind, freshness).await
     }
 
     async fn watch(&self, kind: Kind, since: u64, wait_ms: u64) -> Result<Objects, StoreFault> {
