Relay changes from the last change of their kind, not from the last watch

Cause: a relay sent a change as following the revision at which its last watch ended. Renewals of the lease raise the revision of the store, so that every host of a zone seemed to lack changes before it and watched the store itself: 12 to 14 hosts called the store for each change of the back ends, where two should. Ruled out, by a trial that logs sizes and revisions: entries too large for a datagram (219 of 320 bytes), too many changes (1 at a time), lost datagrams. Change: a relayed change continues from the latest change of its kind that the relay knows. The store of the tests now returns its revision from an empty watch, as the platform does, and no longer skips a change at the end of a wait. Test: relay_change_after_renewals, 120 calls of the other hosts before, 0 after.

--- a/crates/yucca-emulator/src/store.rs
+++ b/crates/yucca-emulator/src/store.rs
@@ -179,7 +179,11 @@
                         sleep(Duration::from_millis(400)).await;
                         return Err(StoreFault::NoAnswer("silent".to_owned()));
                     }
-                    return Ok(Objects { objects: Vec::new(), revision: since });
+                    // A change at the end of the wait must not be skipped.
+                    return Ok(Objects {
+                        objects: self.of_kind(kind, since),
+                        revision: self.revision(),
+                    });
                 }
             }
         }
--- a/crates/yucca-serve/src/relay.rs
+++ b/crates/yucca-serve/src/relay.rs
@@ -228,12 +228,18 @@
     pub(crate) fn record_watch(&self, kind: Kind, from: u64, changes: &Objects) {
         let Some(at) = index(kind) else { return };
         self.resume(kind, from);
-        let last = changes.objects.iter().map(|object| object.revision).max();
-        if let (Some(claim), Some(last)) = (&mut self.claims.borrow_mut()[at], last) {
+        let Some(last) = changes.objects.iter().map(|object| object.revision).max() else {
+            return;
+        };
+        // Between the latest known change of this kind and `from` only other kinds changed, so that
+        // hosts which are at an earlier revision lack nothing.
+        let mut continues_from = from;
+        if let Some(claim) = &mut self.claims.borrow_mut()[at] {
+            continues_from = claim.needed().min(from);
             claim.last_change = claim.last_change.max(last);
         }
-        if !changes.objects.is_empty() && self.is_watching() {
-            let batches = batches(at, from, changes);
+        if self.is_watching() {
+            let batches = batches(at, continues_from, changes);
             let mut outbox = self.outbox.borrow_mut();
             outbox.extend(batches.into_iter().map(|batch| (batch, SENDS)));
             self.announce_now();
--- a/crates/yucca-serve/tests/relay.rs
+++ b/crates/yucca-serve/tests/relay.rs
@@ -270,6 +270,32 @@
     });
 }
 
+/// Renewals of a lease raise the revision of the store. A relay whose last watch ended at such a
+/// revision must not make its next change look as if changes before it were missing, because then
+/// every host of the group calls the store for it.
+#[test]
+fn relay_change_after_renewals() {
+    run_virtual(async {
+        let group = Group::spawn(14, 0.0, 1);
+        wait_ms(10_000).await;
+        let relays = group.relays();
+        let watches = |member: &Member| member.link.watches.get();
+        let before: Vec<u64> = group.members.iter().map(watches).collect();
+        for renewal in 0..10 {
+            group.store.put(Kind::Leases, "lease", Some(json!(renewal)));
+            wait_ms(3_000).await;
+            group.add_backend();
+            wait_ms(BOUND_MS).await;
+            assert_eq!(group.behind(), Vec::<usize>::new());
+        }
+        let followers = (0..before.len()).filter(|at| !relays.contains(at));
+        let made: Vec<u64> = followers
+            .map(|at| watches(&group.members[at]) - before[at])
+            .collect();
+        assert_eq!(made.iter().sum::<u64>(), 0, "{made:?}");
+    });
+}
+
 /// Each call to the store has a cost. Without changes, hosts that rely on others must make no watch
 /// calls, and the group must make no more calls per host than a host whose watches wait 8 s.
 #[test]
--- a/src/watch_relay.rs
+++ b/src/watch_relay.rs
@@ -40,7 +40,7 @@
 
 impl Claim {
     /// Returns the lowest revision at which a host has all changes that the relay knows of.
-    fn needed(&self) -> u64 {
+    pub fn needed(&self) -> u64 {
         self.from.max(self.last_change)
     }
 }
