Stop calling a store that does not respond

While probes fail a host makes no other calls of its watches. After the store's return the hosts that were no relays wait for one to announce its contact, at most half of the bound on changes. Ruled out: growing pauses without a probe, as they delay the return by as much as they save.

--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -4,7 +4,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::{Duration, Instant, sleep, timeout};
 use yucca_io::log;
 use yuccacove::event::Event;
@@ -29,6 +29,8 @@
 const SLOW_BATCH_MS: u64 = 1_500;
 /// Time after which a watch without a response is assumed to be waiting in the store.
 const WATCH_ESTABLISHED_MS: u64 = 250;
+/// Interval at which a host whose probes fail checks whether other hosts relay changes to it.
+const UNAVAILABLE_CHECK_MS: u64 = 200;
 /// Pause after the first failed call; it grows linearly with the failures in a row.
 const RETRY_MS: u64 = 150;
 /// Longest pause after a failed call.
@@ -44,6 +46,8 @@
     /// Start of the latest probe that got a response.
     last_success: Cell<Option<Instant>>,
     interval_ms: Cell<u64>,
+    /// Notified when a probe is to be made at once.
+    probe_requested: Notify,
 }
 
 impl Default for StoreHealth {
@@ -53,6 +57,7 @@
             transitions: watch::Sender::new(0),
             last_success: Cell::new(None),
             interval_ms: Cell::new(PROBE_INTERVAL_MS),
+            probe_requested: Notify::new(),
         }
     }
 }
@@ -82,6 +87,24 @@
             .set(interval_ms.unwrap_or(PROBE_INTERVAL_MS));
     }
 
+    /// Requests a probe at once, because another call has failed.
+    fn request_probe(&self) {
+        self.probe_requested.notify_one();
+    }
+
+    /// Waits for the next probe: until the interval is over or a probe is requested. While probes
+    /// fail, only the interval counts.
+    async fn next_probe(&self) {
+        let interval = sleep(Duration::from_millis(self.interval_ms.get()));
+        if self.is_unavailable() {
+            return interval.await;
+        }
+        tokio::select! {
+            () = interval => {}
+            () = self.probe_requested.notified() => {}
+        }
+    }
+
     /// Whether the last probe failed.
     pub fn is_unavailable(&self) -> bool {
         self.is_unavailable.get()
@@ -98,7 +121,7 @@
     handle: impl Fn(&Object),
 ) {
     loop {
-        sleep(Duration::from_millis(store_health.interval_ms.get())).await;
+        store_health.next_probe().await;
         let started = Instant::now();
         match store.read(kind, name, Freshness::MayLag).await {
             Ok(object) => {
@@ -259,6 +282,10 @@
                 since = Some(changes.revision.max(revision));
                 continue;
             }
+            if self.store_health.is_unavailable() {
+                self.wait_for_store(&mut transitions).await;
+                continue;
+            }
             let result = match since {
                 None => self.store.list(self.kind, Freshness::Latest).await,
                 Some(revision) => tokio::select! {
@@ -302,6 +329,7 @@
                         log::write(Event::StoreLost, &fields);
                     }
                     record_result(false);
+                    self.store_health.request_probe();
                     let pause_ms = (RETRY_MS * failures).min(MAX_RETRY_MS);
                     sleep(Duration::from_millis(pause_ms)).await;
                 }
@@ -309,6 +337,16 @@
         }
     }
 
+    /// Waits while probes of the store fail, because calls would fail as well and each has a price.
+    /// Returns from time to time, as other hosts may have begun to relay changes.
+    async fn wait_for_store(&self, transitions: &mut watch::Receiver<u64>) {
+        self.relay.pause(self.kind);
+        let check = Duration::from_millis(UNAVAILABLE_CHECK_MS);
+        if timeout(check, transitions.changed()).await.is_ok() {
+            self.relay.wait_for_relay(self.kind).await;
+        }
+    }
+
     /// Watches for changes after `revision`.
     async fn watch(&self, revision: u64) -> Result<Objects, StoreFault> {
         let wait_ms = self.wait_ms();
--- a/crates/yucca-serve/src/relay.rs
+++ b/crates/yucca-serve/src/relay.rs
@@ -44,6 +44,11 @@
 /// Longest time for which a host waits before it begins to watch for a group with too few relays,
 /// as a multiple of the same bound. The waits of the hosts are spread over this time.
 const STAGGER_FACTOR: f64 = 1.5;
+/// Shortest time for which a host that is not a relay waits for one after the store became
+/// available, as a fraction of the same bound. The relays may notice it later by a probe's time-out.
+const MIN_RESUME_SHARE: f64 = 0.25;
+/// Time over which the ends of these waits are spread, as a fraction of the same bound.
+const RESUME_SPREAD_SHARE: f64 = 0.25;
 /// Time within which claimed changes may still arrive by datagram.
 const DELIVERY_MS: u64 = 80;
 /// Interval at which a host checks whether it can still rely on others.
@@ -87,6 +92,8 @@
     fresh_ms: u64,
     probe_ms: u64,
     claim_ms: u64,
+    /// Longest wait for a relay after the store became available.
+    resume_delay_ms: u64,
     started: Instant,
     relays: RefCell<Relays<KINDS>>,
     was_watching: Cell<bool>,
@@ -121,6 +128,7 @@
             fresh_ms,
             probe_ms: share(PROBE_SHARE),
             claim_ms: share(CLAIM_SHARE),
+            resume_delay_ms: share(MIN_RESUME_SHARE) + rank % share(RESUME_SPREAD_SHARE).max(1),
             started: Instant::now(),
             relays: RefCell::new(Relays::new(rank, timing)),
             was_watching: Cell::new(true),
@@ -246,6 +254,25 @@
         }
     }
 
+    /// Whether this host has watched a kind since it last relied on others for it.
+    fn has_claim(&self, kind: Kind) -> bool {
+        let Some(at) = index(kind) else { return false };
+        self.claims.borrow()[at].is_some() || self.paused.borrow()[at].is_some()
+    }
+
+    /// Waits before this host watches a kind again after the store became available: not at all if
+    /// it is a relay, otherwise until a relay announces that it is in contact with the store. This
+    /// prevents all hosts from calling the store at the same moment.
+    pub(crate) async fn wait_for_relay(&self, kind: Kind) {
+        if self.has_claim(kind) {
+            return;
+        }
+        let deadline_ms = self.now_ms() + self.resume_delay_ms;
+        while self.now_ms() < deadline_ms && self.relays.borrow().fresh_relays(self.now_ms()) == 0 {
+            sleep(Duration::from_millis(CHECK_MS)).await;
+        }
+    }
+
     /// Suspends the claim of a kind because its watch ended without a response.
     pub(crate) fn pause(&self, kind: Kind) {
         let Some(at) = index(kind) else { return };
@@ -315,6 +342,9 @@
     }
 
     fn is_watching(&self) -> bool {
+        if self.claims.borrow().iter().all(Option::is_none) {
+            self.relays.borrow_mut().yield_to_fresh(self.now_ms());
+        }
         let is_watching = self.relays.borrow_mut().is_watching(self.now_ms());
         if self.was_watching.replace(is_watching) != is_watching {
             let event = if is_watching {
--- a/crates/yucca-serve/tests/relay.rs
+++ b/crates/yucca-serve/tests/relay.rs
@@ -319,6 +319,40 @@
     });
 }
 
+/// While the store is down for all hosts, each call has a price and no effect. A host may make one
+/// watch call per kind that shows the failure, and at most one that shows the store's return. Beyond
+/// that only the two relays watch, which make two calls per kind in the time of the bound.
+#[test]
+fn relay_calls_around_outage() {
+    const HOSTS: u64 = 14;
+    const FOLLOWED_KINDS: u64 = 2;
+    for mode in [StoreMode::Refusing, StoreMode::Unresponsive] {
+        run_virtual(async {
+            let group = Group::spawn(HOSTS as usize, 0.0, 1);
+            wait_ms(10_000).await;
+            let before = group.watches();
+            for member in group.members.iter() {
+                member.link.mode.set(mode);
+            }
+            wait_ms(9_000).await;
+            let during = group.watches() - before;
+            assert!(
+                during <= HOSTS * FOLLOWED_KINDS,
+                "{mode:?}: {during} watches"
+            );
+            for member in group.members.iter() {
+                member.link.mode.set(StoreMode::Up);
+            }
+            group.add_backend();
+            wait_ms(BOUND_MS).await;
+            assert_eq!(group.behind(), Vec::<usize>::new(), "{mode:?}");
+            let after = group.watches() - before - during;
+            let allowed = (HOSTS + 2 * 2) * FOLLOWED_KINDS;
+            assert!(after <= allowed, "{mode:?}: {after} watches after");
+        });
+    }
+}
+
 /// Relays must not queue the updates that they receive from others, because the queue would grow
 /// for as long as they run.
 #[test]
--- a/src/watch_relay.rs
+++ b/src/watch_relay.rs
@@ -122,6 +122,15 @@
         self.is_watching
     }
 
+    /// Makes a host that is to watch but has no watch yet rely on a fresh relay, if there is one.
+    /// When the store becomes available again all hosts are to watch, and those whose watches are
+    /// established first remain relays.
+    pub fn yield_to_fresh(&mut self, now_ms: u64) {
+        if self.fresh_relays(now_ms) > 0 {
+            self.is_watching = false;
+        }
+    }
+
     /// Returns the number of other relays that are fresh.
     pub fn fresh_relays(&self, now_ms: u64) -> usize {
         let others = self.others.values();
