Spare the store's full price at start and after dropped history

Each host that starts also read the lease, and most tried to create it. Change: listings may be stale, at a tenth of the price; that of the back ends is brought up to date by the changes since its revision before it is used. After dropped history a relay sends what a new listing changed, removals included. Hosts wait up to 0.2 of the bound before they watch when a relay's claim lapses. The lease is first observed by the probes, and its delays grow with the number of hosts; while probes fail no call for it is made. Ruled out: stale listings without the changes since, as a backend that left would be used again; a test shows it.

--- a/crates/yucca-emulator/src/simulation.rs
+++ b/crates/yucca-emulator/src/simulation.rs
@@ -199,13 +199,17 @@
         host_address(number),
     ));
     spawn_local(probe_store(
-        store_health,
+        Rc::clone(&store_health),
         Rc::clone(store),
         Kind::Leases,
         roles::LEASE_NAME,
         move |object| observer.observe(object),
     ));
-    spawn_local(roles::maintain_lease(Rc::clone(&lease), Rc::clone(store)));
+    spawn_local(roles::maintain_lease(
+        Rc::clone(&lease),
+        Rc::clone(store),
+        store_health,
+    ));
     spawn_local(roles::plan_roles(Rc::clone(&host), lease));
     host
 }
--- a/crates/yucca-emulator/src/store.rs
+++ b/crates/yucca-emulator/src/store.rs
@@ -33,6 +33,8 @@
     /// changes.
     watch_generation: Cell<u64>,
     objects: RefCell<Vec<(Kind, Object)>>,
+    /// State that calls get whose result may be stale; `None` for the latest one.
+    stale: RefCell<Option<Vec<(Kind, Object)>>>,
     /// Revision up to which changes are no longer available to watches.
     oldest_revision: Cell<u64>,
     /// Watches of generations before this one have been closed.
@@ -52,6 +54,7 @@
             mode: Cell::new(StoreMode::Up),
             watch_generation: Cell::new(0),
             objects: RefCell::default(),
+            stale: RefCell::default(),
             oldest_revision: Cell::new(0),
             closed_before: Cell::new(0),
             changed: Notify::new(),
@@ -66,6 +69,11 @@
         self.watch_generation.set(self.watch_generation.get() + 1);
     }
 
+    /// Makes all listings that may be stale return the present state from now on.
+    pub fn hold_stale_state(&self) {
+        *self.stale.borrow_mut() = Some(self.objects.borrow().clone());
+    }
+
     /// Discards the history of changes: watches since an earlier revision expire, and waiting ones are
     /// abandoned.
     pub fn drop_history(&self) {
@@ -144,11 +152,15 @@
             self.lagging_calls.set(self.lagging_calls.get() + 1);
         }
         self.begin_call().await?;
-        let mut objects = self.of_kind(kind, 0);
-        objects.retain(|o| !o.is_removed);
+        let stale = self.stale.borrow();
+        let stale = stale.as_ref().filter(|_| freshness == Freshness::MayLag);
+        let latest = self.objects.borrow();
+        let state = stale.unwrap_or(&latest);
+        let of_kind = state.iter().filter(|(k, o)| *k == kind && !o.is_removed);
+        let revision = state.iter().map(|(_, o)| o.revision).max().unwrap_or(0);
         Ok(Objects {
-            objects,
-            revision: self.revision(),
+            objects: of_kind.map(|(_, o)| o.clone()).collect(),
+            revision,
         })
     }
 
--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -4,6 +4,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 
+use indexmap::IndexSet;
 use tokio::sync::{Notify, watch};
 use tokio::time::{Duration, Instant, sleep, timeout};
 use yucca_io::log;
@@ -29,6 +30,9 @@
 const SLOW_BATCH_MS: u64 = 1_500;
 /// Time after which a watch without a response is assumed to be waiting in the store.
 const WATCH_ESTABLISHED_MS: u64 = 250;
+/// Time for which the watch that brings a stale listing up to date waits for changes. It is to
+/// return at once.
+const CONFIRM_WAIT_MS: u64 = 1;
 /// Interval at which a host whose probes fail checks whether other hosts relay changes to it.
 const UNAVAILABLE_CHECK_MS: u64 = 200;
 /// Pause after the first failed call; it grows linearly with the failures in a row.
@@ -112,13 +116,13 @@
 }
 
 /// Probes the store for as long as the process lives, by reads of a small object that may be stale.
-/// `handle` receives the object.
+/// `handle` receives the object, or `None` if the store, as of a possibly stale state, has none.
 pub async fn probe_store<S: ObjectStore>(
     store_health: Rc<StoreHealth>,
     store: Rc<S>,
     kind: Kind,
     name: &str,
-    handle: impl Fn(&Object),
+    handle: impl Fn(Option<&Object>),
 ) {
     loop {
         store_health.next_probe().await;
@@ -127,9 +131,7 @@
             Ok(object) => {
                 store_health.record(true);
                 store_health.last_success.set(Some(started));
-                if let Some(object) = object {
-                    handle(&object);
-                }
+                handle(object.as_ref());
             }
             Err(_) => store_health.record(false),
         }
@@ -250,6 +252,53 @@
     );
 }
 
+/// The objects of a kind that a host knows.
+#[derive(Debug)]
+struct Known {
+    /// Revision up to which the host has all changes.
+    revision: u64,
+    names: IndexSet<String>,
+}
+
+impl Known {
+    fn from_listing(listing: &Objects) -> Self {
+        let present = listing.objects.iter().filter(|o| !o.is_removed);
+        Self {
+            revision: listing.revision,
+            names: present.map(|object| object.name.clone()).collect(),
+        }
+    }
+
+    fn apply(&mut self, changes: &Objects) {
+        for object in &changes.objects {
+            if object.is_removed {
+                self.names.swap_remove(&object.name);
+            } else {
+                self.names.insert(object.name.clone());
+            }
+        }
+        self.revision = self.revision.max(changes.revision);
+    }
+
+    /// Returns the changes that lead from the known objects to `listing`.
+    fn changes_to(&self, listing: &Objects) -> Objects {
+        let listed = listing.objects.iter();
+        let changed = listed.filter(|object| object.revision > self.revision);
+        let is_listed = |name: &&String| listing.objects.iter().any(|o| o.name == **name);
+        let removed = self.names.iter().filter(|name| !is_listed(name));
+        let removals = removed.map(|name| Object {
+            name: name.clone(),
+            revision: listing.revision,
+            value: None,
+            is_removed: true,
+        });
+        Objects {
+            objects: changed.cloned().chain(removals).collect(),
+            revision: listing.revision,
+        }
+    }
+}
+
 /// Follows the changes of one kind of objects.
 pub struct Follower<'a, S> {
     /// Store with the objects.
@@ -269,33 +318,35 @@
     /// the changes since the last known revision. `apply` receives objects and whether they are a
     /// full listing, `record_result` whether the store responded to a call.
     pub async fn run(&self, mut apply: impl FnMut(&Objects, bool), record_result: impl Fn(bool)) {
-        let mut since = None;
+        let mut known: Option<Known> = None;
+        let mut is_expired = false;
         let mut failures = 0;
         let mut transitions = self.store_health.transitions.subscribe();
         loop {
             transitions.mark_unchanged();
-            if let Some(revision) = since
-                && let Some(changes) = self.relay.next(self.kind, revision).await
+            if let Some(known) = known.as_mut().filter(|_| !is_expired)
+                && let Some(changes) = self.relay.next(self.kind, known.revision).await
             {
                 record_result(true);
                 apply(&changes, false);
-                since = Some(changes.revision.max(revision));
+                known.apply(&changes);
                 continue;
             }
             if self.store_health.is_unavailable() {
                 self.wait_for_store(&mut transitions).await;
                 continue;
             }
-            let result = match since {
-                None => self.store.list(self.kind, Freshness::Latest).await,
-                Some(revision) => tokio::select! {
-                    result = self.watch(revision) => result,
+            let is_listing = known.is_none() || is_expired;
+            let result = match &known {
+                Some(known) if !is_expired => tokio::select! {
+                    result = self.watch(known.revision) => result,
                     // The sender lives as long as `store_health`.
                     _ = transitions.changed() => {
                         self.relay.pause(self.kind);
                         continue;
                     }
                 },
+                _ => self.list(is_expired).await,
             };
             match result {
                 Ok(objects) => {
@@ -304,12 +355,13 @@
                     }
                     failures = 0;
                     record_result(true);
-                    apply(&objects, since.is_none());
-                    match since {
-                        None => self.relay.record_listing(self.kind, objects.revision),
-                        Some(from) => self.relay.record_watch(self.kind, from, &objects),
+                    apply(&objects, is_listing);
+                    self.announce(known.as_ref(), &objects, is_listing);
+                    match &mut known {
+                        Some(known) if !is_listing => known.apply(&objects),
+                        _ => known = Some(Known::from_listing(&objects)),
                     }
-                    since = Some(since.unwrap_or(0).max(objects.revision));
+                    is_expired = false;
                     if !objects.objects.is_empty() {
                         sleep(self.batch_pause()).await;
                     }
@@ -318,7 +370,7 @@
                     log::write(Event::StoreHistoryLost, &format!("kind={:?}", self.kind));
                     self.relay.pause(self.kind);
                     record_result(true);
-                    since = None;
+                    is_expired = true;
                 }
                 Err(fault) => {
                     failures += 1;
@@ -337,6 +389,47 @@
         }
     }
 
+    /// Relays what a call returned. A listing that replaces known objects is relayed as the changes
+    /// to them, so that the other hosts need not list the objects as well.
+    fn announce(&self, known: Option<&Known>, objects: &Objects, is_listing: bool) {
+        match known {
+            Some(known) if !is_listing => {
+                self.relay.record_watch(self.kind, known.revision, objects);
+            }
+            Some(known) if self.relay.has_claim(self.kind) => {
+                let changes = known.changes_to(objects);
+                self.relay.record_watch(self.kind, known.revision, &changes);
+            }
+            _ => self.relay.record_listing(self.kind, objects.revision),
+        }
+    }
+
+    /// Lists the objects. Pages of a listing that may be stale cost the store a tenth, but may
+    /// contain a backend that has left, so that the changes since then are requested as well. A
+    /// stale listing may also be older than the history that the store dropped.
+    async fn list(&self, is_expired: bool) -> Result<Objects, StoreFault> {
+        let is_relay = self.relay.has_claim(self.kind);
+        match self.kind {
+            Kind::Hosts if !is_expired => self.store.list(self.kind, Freshness::MayLag).await,
+            Kind::BackEnds if !is_relay => self.list_confirmed().await,
+            _ => self.store.list(self.kind, Freshness::Latest).await,
+        }
+    }
+
+    /// Returns a stale listing with the changes since its revision.
+    async fn list_confirmed(&self) -> Result<Objects, StoreFault> {
+        let mut listing = self.store.list(self.kind, Freshness::MayLag).await?;
+        let since = listing.revision;
+        match self.store.watch(self.kind, since, CONFIRM_WAIT_MS).await {
+            Ok(changes) => {
+                listing.apply(changes);
+                Ok(listing)
+            }
+            Err(StoreFault::Expired) => self.store.list(self.kind, Freshness::Latest).await,
+            Err(fault) => Err(fault),
+        }
+    }
+
     /// Waits while probes of the store fail, because calls would fail as well and each has a price.
     /// Returns from time to time, as other hosts may have begun to relay changes.
     async fn wait_for_store(&self, transitions: &mut watch::Receiver<u64>) {
--- a/crates/yucca-serve/src/ports.rs
+++ b/crates/yucca-serve/src/ports.rs
@@ -57,6 +57,19 @@
     pub revision: u64,
 }
 
+impl Objects {
+    /// Applies changes to a listing: removes and replaces objects.
+    pub fn apply(&mut self, changes: Objects) {
+        for change in changes.objects {
+            self.objects.retain(|object| object.name != change.name);
+            if !change.is_removed {
+                self.objects.push(change);
+            }
+        }
+        self.revision = self.revision.max(changes.revision);
+    }
+}
+
 /// Why a call to the store failed.
 #[derive(Debug, Clone, PartialEq)]
 pub enum StoreFault {
--- a/crates/yucca-serve/src/relay.rs
+++ b/crates/yucca-serve/src/relay.rs
@@ -49,8 +49,10 @@
 const MIN_RESUME_SHARE: f64 = 0.25;
 /// Time over which the ends of these waits are spread, as a fraction of the same bound.
 const RESUME_SPREAD_SHARE: f64 = 0.25;
-/// Time within which claimed changes may still arrive by datagram.
-const DELIVERY_MS: u64 = 80;
+/// Time for which a host that no relay's claim covers waits before it watches, as a fraction of the
+/// same bound: changes may still arrive by datagram, and a relay whose watch ended needs a moment to
+/// list or watch again. Together with the pause after a watch it stays within the bound.
+const UNCOVERED_SHARE: f64 = 0.2;
 /// Interval at which a host checks whether it can still rely on others.
 const CHECK_MS: u64 = 50;
 
@@ -92,6 +94,8 @@
     fresh_ms: u64,
     probe_ms: u64,
     claim_ms: u64,
+    /// Time for which a host that no relay's claim covers waits before it watches.
+    uncovered_ms: u64,
     /// Longest wait for a relay after the store became available.
     resume_delay_ms: u64,
     started: Instant,
@@ -128,6 +132,7 @@
             fresh_ms,
             probe_ms: share(PROBE_SHARE),
             claim_ms: share(CLAIM_SHARE),
+            uncovered_ms: share(UNCOVERED_SHARE),
             resume_delay_ms: share(MIN_RESUME_SHARE) + rank % share(RESUME_SPREAD_SHARE).max(1),
             started: Instant::now(),
             relays: RefCell::new(Relays::new(rank, timing)),
@@ -255,7 +260,7 @@
     }
 
     /// Whether this host has watched a kind since it last relied on others for it.
-    fn has_claim(&self, kind: Kind) -> bool {
+    pub(crate) fn has_claim(&self, kind: Kind) -> bool {
         let Some(at) = index(kind) else { return false };
         self.claims.borrow()[at].is_some() || self.paused.borrow()[at].is_some()
     }
@@ -299,7 +304,7 @@
     pub(crate) async fn next(&self, kind: Kind, since: u64) -> Option<Objects> {
         let at = index(kind)?;
         let mut received = self.received.subscribe();
-        let mut behind_since_ms = None;
+        let mut uncovered_since_ms = None;
         loop {
             received.mark_unchanged();
             if self.is_watching() {
@@ -312,8 +317,8 @@
             }
             let now_ms = self.now_ms();
             if self.relays.borrow().covers(at, since, now_ms) {
-                behind_since_ms = None;
-            } else if now_ms >= *behind_since_ms.get_or_insert(now_ms) + DELIVERY_MS {
+                uncovered_since_ms = None;
+            } else if now_ms >= *uncovered_since_ms.get_or_insert(now_ms) + self.uncovered_ms {
                 return None;
             }
             tokio::select! {
@@ -342,7 +347,9 @@
     }
 
     fn is_watching(&self) -> bool {
-        if self.claims.borrow().iter().all(Option::is_none) {
+        let has_claims = self.claims.borrow().iter().any(Option::is_some)
+            || self.paused.borrow().iter().any(Option::is_some);
+        if !has_claims {
             self.relays.borrow_mut().yield_to_fresh(self.now_ms());
         }
         let is_watching = self.relays.borrow_mut().is_watching(self.now_ms());
--- a/crates/yucca-serve/src/roles.rs
+++ b/crates/yucca-serve/src/roles.rs
@@ -4,7 +4,7 @@
 //! also states how many orders the engine has accepted before, so that an order that arrives late
 //! has no effect.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use indexmap::IndexMap;
@@ -19,6 +19,7 @@
 use yuccacove::store::{Stored, Write, WriteResult};
 
 use crate::directory::BackendKey;
+use crate::follow::StoreHealth;
 use crate::host::Host;
 use crate::peers::EngineUnavailable;
 use crate::ports::{
@@ -31,6 +32,10 @@
 const PLAN_INTERVAL: Duration = Duration::from_millis(400);
 /// Longest time that the lease loop waits before its next step.
 const MAX_WAIT_MS: u64 = 500;
+/// Longest time for which a host that starts waits for its first probe of the store.
+const FIRST_PROBE_LIMIT: Duration = Duration::from_secs(3);
+/// Interval at which the lease loop checks whether the store is available again.
+const UNAVAILABLE_CHECK: Duration = Duration::from_millis(100);
 /// Pause after a failed call to the store.
 const STORE_RETRY: Duration = Duration::from_millis(200);
 /// Time for which an order without a reply may still be carried out.
@@ -50,6 +55,11 @@
 /// The lease on engine roles, as this host knows it.
 pub struct RoleLease {
     state: RefCell<LeaseState<String>>,
+    /// Delay of this host in a small fleet before it acquires a free lease.
+    stagger_ms: u64,
+    /// Whether a probe of the store has returned a result, and whether it was a lease.
+    is_probed: Cell<bool>,
+    is_observed: Cell<bool>,
     changed: Notify,
     clock: Box<dyn Fn() -> u64>,
 }
@@ -58,11 +68,15 @@
     /// Creates the state of a lease that has not been read yet. `clock` returns milliseconds and
     /// must advance even while the host is suspended.
     pub fn new(host: &str, clock: impl Fn() -> u64 + 'static) -> Self {
+        let stagger_ms = lease::stagger_ms(LEASE_NAME, host);
         let timing = Timing {
-            stagger_ms: lease::stagger_ms(LEASE_NAME, host),
+            stagger_ms,
             ..Timing::default()
         };
         Self {
+            stagger_ms,
+            is_probed: Cell::new(false),
+            is_observed: Cell::new(false),
             state: RefCell::new(LeaseState::new(host.to_owned(), timing)),
             changed: Notify::new(),
             clock: Box::new(clock),
@@ -74,12 +88,41 @@
     }
 
     /// Updates the state from a read of the lease object, which may be stale: a write that is based
-    /// on a stale object fails with a conflict and has no effect.
-    pub fn observe(&self, object: &Object) {
-        if let Some(stored) = decode_lease(object) {
+    /// on a stale object fails with a conflict and has no effect. A stale read may also miss a lease
+    /// that was created a moment ago, so `None` does not change the state.
+    pub fn observe(&self, object: Option<&Object>) {
+        if let Some(stored) = object.and_then(decode_lease) {
+            self.is_observed.set(true);
             self.state.borrow_mut().observe(stored, self.now_ms());
-            self.changed.notify_one();
         }
+        self.is_probed.set(true);
+        self.changed.notify_one();
+    }
+
+    /// Spreads the attempts of a fleet of `hosts` to acquire a free lease.
+    fn set_hosts(&self, hosts: u32) {
+        let stagger_ms = lease::scaled_stagger_ms(self.stagger_ms, hosts);
+        self.state.borrow_mut().set_stagger_ms(stagger_ms);
+    }
+
+    /// Waits until a probe of the store has returned the lease. If the store has none, the hosts of
+    /// a fleet that starts end their waits one after the other, so that only a few of them read and
+    /// create it.
+    async fn wait_for_observation(&self) {
+        let probed = async {
+            while !self.is_probed.get() {
+                self.changed.notified().await;
+            }
+        };
+        // Without a probe's result the host reads the lease itself.
+        let _ = timeout(FIRST_PROBE_LIMIT, probed).await;
+        let observed = async {
+            while !self.is_observed.get() {
+                self.changed.notified().await;
+            }
+        };
+        let stagger_ms = self.state.borrow().stagger_ms();
+        let _ = timeout(Duration::from_millis(stagger_ms), observed).await;
     }
 
     /// Stops giving orders under the lease; [`maintain_lease`] then releases it.
@@ -109,10 +152,20 @@
 }
 
 /// Acquires and renews the lease for as long as the process lives, and releases it on a graceful
-/// shutdown.
-pub async fn maintain_lease<S: ObjectStore>(lease: Rc<RoleLease>, store: Rc<S>) {
+/// shutdown. While probes of the store fail it makes no calls; a lease that is held lapses then.
+pub async fn maintain_lease<S: ObjectStore>(
+    lease: Rc<RoleLease>,
+    store: Rc<S>,
+    store_health: Rc<StoreHealth>,
+) {
     let mut is_held = false;
+    lease.wait_for_observation().await;
     loop {
+        if store_health.is_unavailable() {
+            sleep(UNAVAILABLE_CHECK).await;
+            log_change(&lease, &mut is_held);
+            continue;
+        }
         let next = lease
             .state
             .borrow_mut()
@@ -214,6 +267,7 @@
         sleep(PLAN_INTERVAL).await;
         let now_ms = host.now_ms();
         observe_demand(&host);
+        lease.set_hosts(host.host_count());
         // While engines are still registering, a split of the few known ones would be wrong.
         let backends = host.directory.borrow().len();
         if listed.0 != backends {
--- a/crates/yucca-serve/tests/follow.rs
+++ b/crates/yucca-serve/tests/follow.rs
@@ -187,3 +187,45 @@
         assert!(full <= 100, "{full} full calls in 60 s");
     });
 }
+
+/// A listing that may be stale can contain a backend that has left since. A host that starts must not
+/// use it, not even until its first watch returns.
+#[test]
+fn follow_backends_stale_listing() {
+    run_virtual(async {
+        let store = FakeStore::new();
+        put_backend(&store, "i-1", false);
+        put_backend(&store, "i-2", false);
+        store.hold_stale_state();
+        store.put(Kind::BackEnds, "i-2", None);
+        put_backend(&store, "i-3", false);
+        let host = follow(&store);
+        for _ in 0..100 {
+            wait_ms(10).await;
+            let directory = host.directory.borrow();
+            assert!(
+                directory.find("i-2").is_none(),
+                "a backend that left is known"
+            );
+        }
+        assert_eq!(usable(&host), 2);
+        assert!(host.directory.borrow().find("i-3").is_some());
+    });
+}
+
+/// If the store has dropped the changes since a stale listing, the host lists the latest state.
+#[test]
+fn follow_backends_stale_listing_without_history() {
+    run_virtual(async {
+        let store = FakeStore::new();
+        put_backend(&store, "i-1", false);
+        store.hold_stale_state();
+        store.put(Kind::BackEnds, "i-1", None);
+        put_backend(&store, "i-2", false);
+        store.drop_history();
+        let host = follow(&store);
+        wait_ms(100).await;
+        assert!(host.directory.borrow().find("i-1").is_none());
+        assert_eq!(usable(&host), 1);
+    });
+}
--- a/crates/yucca-serve/tests/relay.rs
+++ b/crates/yucca-serve/tests/relay.rs
@@ -27,6 +27,7 @@
     store: Rc<FakeStore>,
     mode: Cell<StoreMode>,
     watches: Cell<u64>,
+    lists: Cell<u64>,
 }
 
 impl Link {
@@ -44,6 +45,7 @@
 
 impl ObjectStore for Link {
     async fn list(&self, kind: Kind, freshness: Freshness) -> Result<Objects, StoreFault> {
+        self.lists.set(self.lists.get() + 1);
         self.check().await?;
         self.store.list(kind, freshness).await
     }
@@ -114,6 +116,7 @@
             store: Rc::clone(store),
             mode: Cell::new(StoreMode::Up),
             watches: Cell::new(0),
+            lists: Cell::new(0),
         });
         let store_health = Rc::clone(&host.relay.store_health);
         let tasks = vec![
@@ -353,6 +356,38 @@
     }
 }
 
+/// When the store drops its history only the relays may list the objects again. They relay what
+/// changed, including removals, as the other hosts would otherwise all list them.
+#[test]
+fn relay_listings_after_dropped_history() {
+    run_virtual(async {
+        let group = Group::spawn(14, 0.0, 1);
+        for _ in 0..5 {
+            group.add_backend();
+        }
+        wait_ms(10_000).await;
+        let relays = group.relays();
+        let calls = |member: &Member| member.link.watches.get() + member.link.lists.get();
+        let before: Vec<u64> = group.members.iter().map(calls).collect();
+        // The store closes the watches that wait and then has no events for the changes.
+        group.store.close_watches();
+        group.store.put(Kind::BackEnds, "i-2", None);
+        group.add_backend();
+        group.store.drop_history();
+        wait_ms(8_000).await;
+        for member in group.members.iter() {
+            let directory = member.host.directory.borrow();
+            let usable = directory.usable("desk", member.host.now_ms()).len();
+            assert_eq!(usable, group.backends.get() - 1);
+        }
+        let followers = (0..before.len()).filter(|at| !relays.contains(at));
+        let made: Vec<u64> = followers
+            .map(|at| calls(&group.members[at]) - before[at])
+            .collect();
+        assert_eq!(made.iter().sum::<u64>(), 0, "{made:?}");
+    });
+}
+
 /// Relays must not queue the updates that they receive from others, because the queue would grow
 /// for as long as they run.
 #[test]
--- a/crates/yucca-serve/tests/roles.rs
+++ b/crates/yucca-serve/tests/roles.rs
@@ -64,11 +64,16 @@
     directory.apply_full_listing(&ids, 1, 0);
     drop(directory);
     let lease = Rc::new(RoleLease::new(name, virtual_clock()));
-    let lease_task = spawn_local(maintain_lease(Rc::clone(&lease), Rc::clone(store)));
+    let store_health = Rc::new(StoreHealth::default());
+    let lease_task = spawn_local(maintain_lease(
+        Rc::clone(&lease),
+        Rc::clone(store),
+        Rc::clone(&store_health),
+    ));
     spawn_local(plan_roles(Rc::clone(&host), Rc::clone(&lease)));
     let observer = Rc::clone(&lease);
     spawn_local(probe_store(
-        Rc::new(StoreHealth::default()),
+        store_health,
         Rc::clone(store),
         Kind::Leases,
         LEASE_NAME,
@@ -150,6 +155,37 @@
     });
 }
 
+/// The hosts of a fleet that starts, or whose holder is lost, must not all read and write the lease:
+/// each call has a price, and all but one have no effect.
+#[test]
+fn maintain_lease_calls_of_large_fleet() {
+    const HOSTS: usize = 60;
+    run_virtual(async {
+        let store = FakeStore::new();
+        let fleet: Vec<RunningHost> = (0..HOSTS)
+            .map(|number| spawn_host(&format!("entry-{number}"), &store))
+            .collect();
+        for running in &fleet {
+            running.host.set_host_count(HOSTS as u32);
+        }
+        let holder = || fleet.iter().position(|r| r.lease.authority().is_some());
+        let full_calls = || store.calls.get() - store.lagging_calls.get();
+        wait_ms(10_000).await;
+        let first = holder().expect("a holder");
+        let at_start = full_calls();
+        assert!(at_start <= HOSTS as u64, "{at_start} calls at the start");
+        fleet[first].lease_task.abort();
+        wait_ms(12_000).await;
+        let second = holder().expect("a successor");
+        assert_ne!(first, second);
+        let at_takeover = full_calls() - at_start;
+        assert!(
+            at_takeover <= HOSTS as u64,
+            "{at_takeover} calls at the takeover"
+        );
+    });
+}
+
 /// A holder that stops must release the lease and give no more orders.
 #[test]
 fn plan_roles_after_stop() {
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -56,6 +56,17 @@
 /// successor must take over.
 pub const MAX_STAGGER_MS: u64 = 1_000;
 
+/// Time over which the delays of a fleet are spread, for each of its hosts. Hosts learn of a renewal
+/// by reads that may lag, so that those whose delays are close to the lowest one write in vain.
+const STAGGER_PER_HOST_MS: u64 = 60;
+
+/// Scales a delay from [`stagger_ms`] for a fleet of `hosts`: the lowest delay of a large fleet stays
+/// about the same, while the others are spread over more time.
+pub fn scaled_stagger_ms(stagger_ms: u64, hosts: u32) -> u64 {
+    let spread_ms = (u64::from(hosts) * STAGGER_PER_HOST_MS).max(MAX_STAGGER_MS);
+    stagger_ms * spread_ms / MAX_STAGGER_MS
+}
+
 /// Delay of `host` before it acquires the lease on `pool`, for [`Timing::stagger_ms`]. The delays
 /// of all hosts are evenly distributed below [`MAX_STAGGER_MS`].
 pub fn stagger_ms(pool: &str, host: &str) -> u64 {
@@ -198,6 +209,16 @@
         }
     }
 
+    /// Delay of this host before it acquires a free lease.
+    pub fn stagger_ms(&self) -> u64 {
+        self.timing.stagger_ms
+    }
+
+    /// Sets the delay of this host before it acquires a free lease.
+    pub fn set_stagger_ms(&mut self, stagger_ms: u64) {
+        self.timing.stagger_ms = stagger_ms;
+    }
+
     /// The host's authority at `now_ms`; `None` if it must not act. Check it immediately before
     /// each write and each order.
     pub fn authority(&self, now_ms: u64) -> Option<Authority> {
