End responses of backends that never end

Informational responses without end kept the host's only thread busy: hyper reads up to 128 buffers in a row, of up to 400 kB each, before other tasks run. A long plain body ends at the deadline. The read buffer is 32 kB, which also limits heads. Ruled out: heads without end, which the buffer's limit ended before as well (send_request_endless_head passed before).

--- a/crates/yucca-io/src/connections.rs
+++ b/crates/yucca-io/src/connections.rs
@@ -16,6 +16,10 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+/// Size of the read buffer, which is also the maximum size of a response's head. A backend that sends
+/// informational responses without end fills the buffer up to 128 times before other tasks of the
+/// thread run, so that it must be small.
+const MAX_BUFFER_BYTES: usize = 32 * 1_024;
 /// Maximum number of idle connections kept for each backend.
 const MAX_IDLE_PER_BACKEND: usize = 64;
 /// Time that sent data may stay unacknowledged before the kernel closes the connection.
@@ -61,7 +65,9 @@
                 .map_err(|e| e.to_string())?;
             stream.set_nodelay(true).map_err(|e| e.to_string())?;
             set_dead_peer_detection(&stream, probes).map_err(|e| e.to_string())?;
-            let (sender, driver) = http1::handshake(TokioIo::new(stream))
+            let (sender, driver) = http1::Builder::new()
+                .max_buf_size(MAX_BUFFER_BYTES)
+                .handshake(TokioIo::new(stream))
                 .await
                 .map_err(|e| e.to_string())?;
             let driver = tokio::spawn(async move {
--- a/crates/yucca-serve/src/plain.rs
+++ b/crates/yucca-serve/src/plain.rs
@@ -3,6 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use http::response::Parts;
 use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout_at};
 use yucca_io::log;
 use yuccacove::code::Code;
 use yuccacove::event::Event;
@@ -16,7 +17,7 @@
 
 /// Maximum size of a response that is read completely before it is forwarded, so that the request
 /// can be retried if the connection breaks within the response.
-const MAX_BUFFERED_BYTES: usize = 1_024 * 1_024;
+pub(crate) const MAX_BUFFERED_BYTES: usize = 1_024 * 1_024;
 
 /// Sends the request to a backend and returns the reply; retries on other backends if the kind of
 /// the route allows it.
@@ -75,7 +76,7 @@
             }
             Ok(Outcome::TooLong(head, start, body)) => {
                 record_health(context, key, true);
-                return stream_rest(head, start, body, in_flight);
+                return stream_rest(head, start, body, in_flight, context.deadline);
             }
             Err(fault) => {
                 if matches!(fault, CallFault::NotSent(_)) {
@@ -115,6 +116,7 @@
     start: Bytes,
     mut body: B::Body,
     in_flight: InFlight<B>,
+    deadline: Instant,
 ) -> Reply {
     let (sender, chunks) = mpsc::channel(4);
     tokio::task::spawn_local(async move {
@@ -130,7 +132,10 @@
             {
                 return;
             }
-            next = body.chunk().await;
+            // A body without end must not be forwarded beyond the deadline.
+            next = timeout_at(deadline, body.chunk())
+                .await
+                .unwrap_or_else(|_| Some(Err("deadline passed within the body".to_owned())));
         }
     });
     Reply::streamed(head, chunks)
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -19,6 +19,7 @@
 use crate::host::{Host, InFlight};
 use crate::loads::Reservation;
 use crate::peers;
+use crate::plain::MAX_BUFFERED_BYTES;
 use crate::ports::{BackendResponse, Backends, CallFault, KvCacheHandle, ResponseBody};
 use crate::reply::{Interrupted, Reply};
 use crate::serve::{RequestContext, RunState, Stage};
@@ -448,15 +449,23 @@
     context: &Rc<RequestContext<B>>,
     mut opened: OpenStream<B>,
 ) -> Reply {
+    let directory = &context.host.directory;
+    let key = opened.key;
+    directory
+        .borrow_mut()
+        .get_mut(key)
+        .health
+        .record_response(false);
     let mut bytes = Vec::new();
     while let Some(chunk) = opened.response.body.chunk().await {
         let Ok(chunk) = chunk else {
             return context.refuse(Code::BackendFailed);
         };
         bytes.extend_from_slice(&chunk);
+        if bytes.len() > MAX_BUFFERED_BYTES {
+            return context.refuse(Code::BackendFailed);
+        }
     }
-    let mut directory = context.host.directory.borrow_mut();
-    directory.get_mut(opened.key).health.record_response(false);
     let head = opened.response.head;
     log::write(
         Event::Failed,
