Count the fallback of a slow owner towards its late grants

Cause, two faults of the fleet-wide rate limit beside load. An owner that responds after more than 100 ms makes a host use its equal share for a second, while the owner's bucket grants the same second once more: 1 to 22 requests above the bound. And a request that needs a second call to an owner that responds was refused after 100 ms with the code of a limit that was not used up (2002). Change: what the share admits while the owner may still respond is subtracted from the next grants, at most one second's worth. A new owner that announces when it begins to grant is not counted. A request waits up to the lifetime of a grant as long as the owner responds. Ruled out: the bound of the test; it follows from the limit and one second's burst.

--- a/crates/yucca-entry/src/quota.rs
+++ b/crates/yucca-entry/src/quota.rs
@@ -145,7 +145,9 @@
         return Err(problem);
     }
     let started_ms = boot_ms();
-    let wait_until = Instant::now() + Duration::from_millis(GRANT_WAIT_MS);
+    let started = Instant::now();
+    let mut wait_until = started + Duration::from_millis(GRANT_WAIT_MS);
+    let wait_limit = started + Duration::from_millis(GRANT_LIFETIME_MS);
     loop {
         let wait_for = {
             let now_ms = boot_ms();
@@ -197,10 +199,16 @@
         let now_ms = boot_ms();
         if let Some(quota) = host.quotas.lock().get_mut(name) {
             if quota.last_grant_ms.is_some_and(|at| at >= started_ms) {
-                // The owner responds, but other requests used up what it granted.
-                return Err(problem(code, GRANT_LIFETIME_MS));
+                if wait_until == wait_limit {
+                    // Other requests use up what the owner grants.
+                    return Err(problem(code, GRANT_LIFETIME_MS));
+                }
+                // The owner responds, and has not refused: on a busy host one call may take most of
+                // the wait.
+                wait_until = wait_limit;
+                continue;
             }
-            quota.fall_back(host, GRANT_LIFETIME_MS, now_ms);
+            quota.owner_unreachable(host, now_ms);
         }
     }
 }
@@ -244,7 +252,7 @@
         return Some(owner_call.clone());
     }
     let Some(owner) = host.peers.owner(name) else {
-        quota.fall_back(host, GRANT_LIFETIME_MS, boot_ms());
+        quota.owner_unreachable(host, boot_ms());
         return None;
     };
     if owner == host.name {
@@ -380,7 +388,7 @@
             // Counted from the start of the call, so that the fallback share is not used after the
             // owner starts to grant.
             QuotaGrant::NotBefore(for_ms) => return self.fall_back(host, for_ms, sent_ms),
-            QuotaGrant::NotOwner => return self.fall_back(host, GRANT_LIFETIME_MS, now_ms),
+            QuotaGrant::NotOwner => return self.owner_unreachable(host, now_ms),
         };
         let valid_ms = amounts.valid_ms;
         let part = |amount| Grant { amount, valid_ms };
@@ -398,7 +406,15 @@
         self.slots.granted(part(amounts.slots), now_ms);
     }
 
-    /// Uses an equal share of the limits among the live hosts for `for_ms` from `now_ms` on.
+    /// Uses an equal share of the limits among the live hosts for the lifetime of a grant.
+    fn owner_unreachable(&mut self, host: &Host, now_ms: u64) {
+        let hosts = u32::try_from(host.peers.live().len()).unwrap_or(u32::MAX);
+        self.requests.owner_unreachable(hosts, now_ms);
+        self.tokens.owner_unreachable(hosts, now_ms);
+        self.slots.owner_unreachable(hosts, now_ms);
+    }
+
+    /// Uses the same share for `for_ms` from `now_ms` on, because a new owner does not grant yet.
     fn fall_back(&mut self, host: &Host, for_ms: u64, now_ms: u64) {
         let hosts = u32::try_from(host.peers.live().len()).unwrap_or(u32::MAX);
         self.requests.fall_back(hosts, for_ms, now_ms);
--- a/crates/yucca-entry/tests/limits.rs
+++ b/crates/yucca-entry/tests/limits.rs
@@ -15,7 +15,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 use yucca_entry::peer_calls::{self, PeerCalls};
-use yucca_entry::quota::UNUSED_AFTER_MS;
+use yucca_entry::quota::{GRANT_WAIT_MS, UNUSED_AFTER_MS};
 use yucca_entry::wire::{self, Digest, ExchangeRequest, QuotaAmounts, QuotaGrant, QuotaRequest};
 use yucca_io::clock::boot_ms;
 use yucca_io::settings::Settings;
@@ -220,6 +220,8 @@
 enum Owner {
     /// Grants all requested amounts.
     Grants,
+    /// Grants everything, after most of the time for which a request waits at first.
+    GrantsSlowly,
     /// Responds that it does not grant yet.
     NotYetGranting,
     /// Responds with an error.
@@ -238,6 +240,7 @@
     let desk = desk().await;
     let owners = [
         Owner::Grants,
+        Owner::GrantsSlowly,
         Owner::NotYetGranting,
         Owner::Fails,
         Owner::Silent,
@@ -275,8 +278,13 @@
                     slots: request.slots_in_use + request.slots,
                     valid_ms: 1_000,
                 };
+                if matches!(owner, Owner::GrantsSlowly) {
+                    std::thread::sleep(Duration::from_millis(GRANT_WAIT_MS * 7 / 10));
+                }
                 match owner {
-                    Owner::Grants => wire::encode(&QuotaGrant::Granted(amounts)).ok(),
+                    Owner::Grants | Owner::GrantsSlowly => {
+                        wire::encode(&QuotaGrant::Granted(amounts)).ok()
+                    }
                     Owner::NotYetGranting => wire::encode(&QuotaGrant::NotBefore(1_000)).ok(),
                     Owner::Fails | Owner::Silent | Owner::Gone => None,
                 }
@@ -315,6 +323,8 @@
                 assert!(admitted > limit * (seconds + 1.0), "{codes:?}");
                 assert!(calls.load(Ordering::SeqCst) > 0);
             }
+            // A second call that a request needs must not have it refused, as no limit is used up.
+            Owner::GrantsSlowly => assert!(codes.keys().all(|code| *code == 0), "{codes:?}"),
             // The last host of the fleet owns the whole limit.
             Owner::Gone => {
                 let most = limit * (seconds + 1.0) + 1.0;
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -108,6 +108,10 @@
     // Kept after its use: a new, full bucket would admit a burst after each lost response.
     fallback: Option<Fallback>,
     fallback_until_ms: u64,
+    /// Whether the owner may grant the time in which the fallback is used as well.
+    is_fallback_owed: bool,
+    /// Amount admitted by such a fallback, which is subtracted from the next grants.
+    owed: u32,
 }
 
 /// Local token bucket, used while the owner cannot be reached.
@@ -132,6 +136,8 @@
             demand_per_s: 0.0,
             fallback: None,
             fallback_until_ms: 0,
+            is_fallback_owed: false,
+            owed: 0,
         }
     }
 
@@ -149,7 +155,12 @@
         if now_ms < self.fallback_until_ms
             && let Some(fallback) = &mut self.fallback
         {
-            return fallback.acquire(cost, now_ms);
+            let result = fallback.acquire(cost, now_ms);
+            if result == AcquireResult::Acquired && self.is_fallback_owed {
+                // The owner's bucket holds at most the grants of one second.
+                self.owed = self.owed.saturating_add(cost).min(self.limit_per_s);
+            }
+            return result;
         }
         if now_ms < self.refused_until_ms {
             return AcquireResult::Refused {
@@ -163,7 +174,9 @@
     /// requests are refused for a while instead of asking the owner for each of them.
     pub fn granted(&mut self, asked: u32, grant: Grant, now_ms: u64) {
         self.fallback_until_ms = 0;
-        self.balance = self.balance.saturating_add(grant.amount);
+        let repaid = self.owed.min(grant.amount);
+        self.owed -= repaid;
+        self.balance = self.balance.saturating_add(grant.amount - repaid);
         self.expires_ms = now_ms + grant.valid_ms;
         if grant.amount < asked {
             self.refused_until_ms = now_ms
@@ -179,13 +192,16 @@
             self.balance = self.balance.saturating_add(cost);
         } else if let Some(available) = self.fallback.as_mut().and_then(|f| f.available.as_mut()) {
             *available += f64::from(cost);
+            self.owed = self.owed.saturating_sub(cost);
         }
     }
 
     /// Falls back to an equal share of the limit for the lifetime of a grant, because the owner
-    /// cannot be reached.
+    /// does not respond in time. It may respond late and grant the same time again, so that what
+    /// the share admits is subtracted from the next grants.
     pub fn owner_unreachable(&mut self, hosts: u32, now_ms: u64) {
         self.fall_back(hosts, GRANT_LIFETIME_MS, now_ms);
+        self.is_fallback_owed = true;
     }
 
     /// Falls back to an equal share of the limit for `for_ms`, after which the owner is asked
@@ -194,6 +210,7 @@
     pub fn fall_back(&mut self, hosts: u32, for_ms: u64, now_ms: u64) {
         let limit_per_s = f64::from(self.limit_per_s) / f64::from(hosts.max(1));
         self.fallback_until_ms = now_ms + for_ms;
+        self.is_fallback_owed = false;
         match &mut self.fallback {
             Some(fallback) => fallback.limit_per_s = limit_per_s,
             None => {
--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -306,3 +306,50 @@
         assert_eq!(holder.acquire(0), next, "{wanted} {granted} {more}");
     }
 }
+
+/// An owner that responds late must not raise the limit: while the response is on its way the host
+/// admits requests from its fallback share, and the owner grants the same time once more.
+#[test]
+fn rate_limit_holds_with_slow_owner() {
+    const FLEET: u32 = 2;
+    /// Time after which a host that waits for the owner falls back.
+    const WAIT_MS: u64 = 100;
+    const SECONDS: u64 = 6;
+    for delay_ms in [10, 90, 110, 150, 400, 900, 1_500] {
+        for pause_ms in [1, 3, 17] {
+            let mut owner = RateOwner::open(LIMIT_PER_S, 0);
+            let mut holder = RateHolder::open(LIMIT_PER_S, 0);
+            let mut admitted = 0;
+            // Amount of the pending call, and the times at which it was sent and ends.
+            let mut call: Option<(u32, u64)> = None;
+            let mut waiting_since_ms = None;
+            for now_ms in 0..SECONDS * 1_000 {
+                if let Some((want, sent_ms)) = call
+                    && now_ms >= sent_ms + delay_ms
+                {
+                    let grant = owner.grant(want, now_ms);
+                    holder.granted(want, grant, now_ms);
+                    call = None;
+                    waiting_since_ms = None;
+                }
+                if !now_ms.is_multiple_of(pause_ms) {
+                    continue;
+                }
+                match holder.acquire(1, now_ms) {
+                    AcquireResult::Acquired => admitted += 1,
+                    AcquireResult::Refused { .. } => {}
+                    AcquireResult::Ask(want) => {
+                        call.get_or_insert((want, now_ms));
+                        let since_ms = *waiting_since_ms.get_or_insert(now_ms);
+                        if now_ms >= since_ms + WAIT_MS {
+                            holder.owner_unreachable(FLEET, now_ms);
+                        }
+                    }
+                }
+            }
+            let most = LIMIT_PER_S * (SECONDS as u32 + 1) + 1;
+            let case = format!("{delay_ms} ms, a request each {pause_ms} ms");
+            assert!(admitted <= most, "{case}: {admitted} above {most}");
+        }
+    }
+}
