Keep the ports of closed addresses bound in the tests of yuccactl

Change: the port stays bound without a listener until the test program ends. Test: closed_port_stays_closed, which fails with the released port, as a listener can then be bound there.

--- a/crates/yuccactl/tests/commands.rs
+++ b/crates/yuccactl/tests/commands.rs
@@ -3,7 +3,7 @@
 mod fakes;
 
 use std::fs;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -11,6 +11,7 @@
 
 use fakes::{FakeStore, Fault, serve};
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 
 const CATALOGUE: &str = "
 [owner office]
@@ -112,9 +113,27 @@
     }
 }
 
+/// Returns an address that refuses connections. Its port stays bound until the test program ends, as
+/// a server that is started later could be given a released port.
 fn closed_port() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any_port.into()).expect("a free port");
+    let address = socket.local_addr().expect("an address");
+    std::mem::forget(socket);
+    address.as_socket().expect("an IP address")
+}
+
+/// Guards against a fault of these tests, in which a fake store was given the port of an address
+/// that was to refuse connections, so that the settings named it twice.
+#[test]
+fn closed_port_stays_closed() {
+    let closed = closed_port();
+    assert!(TcpStream::connect(closed).is_err());
+    assert!(
+        TcpListener::bind(closed).is_err(),
+        "the port can be given to a server"
+    );
 }
 
 fn engine_with(running: u64, age_ms: u64) -> SocketAddr {
