Log the content of requests that backends failed

The log could not tell a request that crashes servers from servers that crash under load: E301 lines of plain services named nothing of the request. They now have content=, a hash that all tries of a request share at all hosts. The key that identifies a whole request also covers its method and host name.

--- a/crates/yucca-serve/src/crashes.rs
+++ b/crates/yucca-serve/src/crashes.rs
@@ -13,8 +13,8 @@
 use crate::ports::Backends;
 use crate::request::Request;
 
-/// Returns what may make a request crash engines of `service`: each part of its prompt but the
-/// last, which is its own, and the request as a whole.
+/// Returns what may make a request crash backends of `service`: each part of its prompt but the
+/// last, which is its own, and at the end the request as a whole.
 pub fn keys(service: &str, request: &Request) -> Vec<PartKey> {
     let parts = request.prompt.as_ref().map_or(&[][..], |p| &p.parts);
     let shared = &parts[..parts.len().saturating_sub(1)];
@@ -28,11 +28,23 @@
     let ids: Vec<u64> = parts.iter().map(|part| part.id).collect();
     keys.push(PartKey {
         scope: hash_of((service, "request")),
-        id: hash_of((&request.path_and_query, ids, &request.body)),
+        id: content_hash(request, &ids),
     });
     keys
 }
 
+/// Returns a hash of what the repeats of a request have in common. Headers are left out, because
+/// some of them differ between repeats.
+fn content_hash(request: &Request, part_ids: &[u64]) -> u64 {
+    hash_of((
+        request.method.as_str(),
+        &request.host,
+        &request.path_and_query,
+        part_ids,
+        &request.body,
+    ))
+}
+
 /// Handles the loss of the connection on which the engine `key` had begun its response to a request
 /// with `keys`, before any event. If the engine has crashed, that blames the request. Returns
 /// whether the request may be sent to another engine.
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -88,7 +88,7 @@
     pub received: Instant,
     /// Time by which the caller must have its complete reply.
     pub deadline: Instant,
-    /// What may make the request crash engines; empty for a request to a plain service.
+    /// What may make the request crash the backends that run it.
     pub crash_keys: Vec<PartKey>,
     /// Backends that failed this request; retries avoid them.
     pub failed_backends: RefCell<Vec<BackendKey>>,
@@ -112,10 +112,7 @@
         let left_ms = request.deadline_ms.unwrap_or(u64::MAX);
         let limit_ms = left_ms.min(route.timeout_ms);
         host.add_retry_credit(service);
-        let crash_keys = match route.kind {
-            RouteKind::Stream { .. } => crashes::keys(service, &request),
-            RouteKind::Idempotent | RouteKind::AtMostOnce => Vec::new(),
-        };
+        let crash_keys = crashes::keys(service, &request);
         Self {
             host: Rc::clone(host),
             request,
@@ -290,11 +287,12 @@
         }
         let target = host.target(key);
         let fields = format!(
-            "request={} stage={stage:?} back_end={} service={} progress={progress:?} parts={} fault={fault:?} elapsed_ms={} may_have_run={may_have_run}",
+            "request={} stage={stage:?} back_end={} service={} progress={progress:?} parts={} content={:x} fault={fault:?} elapsed_ms={} may_have_run={may_have_run}",
             self.request.id,
             target.id,
             self.service,
             self.part_ids(),
+            self.content_id(),
             self.elapsed_ms(),
         );
         log::write(Event::BackendFailed, &fields);
@@ -309,6 +307,12 @@
         ids.join(",")
     }
 
+    /// Returns the hash of the request's content for log lines. It is the same for all tries of a
+    /// request, at all hosts.
+    fn content_id(&self) -> u64 {
+        self.crash_keys.last().map_or(0, |key| key.id)
+    }
+
     /// Restores the attempt limit to an earlier value, after an attempt that was not sent.
     pub fn restore_attempts(&self, before: AttemptLimit) {
         self.attempts.set(before);
