Test that a request that crashes plain servers reaches few of them

The test plays 4 servers of a plain service that crash when they run a certain request, which comes again at any host.

Two more tests guard what a fix must not do: refuse sound requests because servers crash for another reason, or because one host's path to the servers is cut.

--- a/crates/yucca-serve/tests/common/mod.rs
+++ b/crates/yucca-serve/tests/common/mod.rs
@@ -9,7 +9,7 @@
 pub mod site;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::future::{Future, pending};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -93,6 +93,8 @@
 pub struct EngineFleet {
     /// Id of the deadly part, if there is one.
     pub deadly_part: Cell<Option<u64>>,
+    /// Body of the request that crashes each plain server that runs it, if there is one.
+    pub deadly_body: RefCell<Option<Bytes>>,
     /// Limit that each engine names, in requests a second.
     pub limits_per_s: RefCell<HashMap<String, f64>>,
     /// Times at which requests and prefills reached each engine.
@@ -110,11 +112,14 @@
     pub const RESTART: Duration = Duration::from_millis(3_000);
     /// Time from the head of the response to the crash.
     const HEAD_TO_CRASH_MS: u64 = 40;
+    /// Time that a plain server takes for a request.
+    const PLAIN_WORK_MS: u64 = 60;
 
     /// Creates engines that neither crash nor name a limit.
     pub fn new() -> Rc<Self> {
         Rc::new(Self {
             deadly_part: Cell::new(None),
+            deadly_body: RefCell::default(),
             limits_per_s: RefCell::default(),
             arrivals: RefCell::default(),
             crashes: RefCell::default(),
@@ -142,6 +147,28 @@
         self.crashed.borrow().get(id).copied()
     }
 
+    /// Runs a request on a plain server, which responds only when its work is done.
+    async fn run_plain(&self, id: &str, request: &Request) -> Result<(), CallFault> {
+        let before = self.last_crash(id);
+        let is_deadly = self.deadly_body.borrow().as_ref() == Some(&request.body);
+        if is_deadly {
+            self.deadly_calls.borrow_mut().push(Instant::now());
+        }
+        let until = Instant::now() + Duration::from_millis(Self::PLAIN_WORK_MS);
+        while Instant::now() < until {
+            wait_ms(1).await;
+            if self.last_crash(id) != before {
+                return Err(CallFault::Broken("reset".to_owned()));
+            }
+        }
+        if is_deadly {
+            self.crashes.borrow_mut().push(Instant::now());
+            self.crash(id);
+            return Err(CallFault::Broken("reset".to_owned()));
+        }
+        Ok(())
+    }
+
     fn record_arrival(&self, id: &str) {
         let mut arrivals = self.arrivals.borrow_mut();
         arrivals
@@ -182,6 +209,8 @@
     pub order_reply: Cell<Option<OrderReply>>,
     /// Number of KV caches that were released.
     pub released: Cell<u32>,
+    /// Backends to which this host has no path: its connections are reset and refused.
+    pub cut_off: RefCell<HashSet<String>>,
 }
 
 impl FakeBackends {
@@ -203,6 +232,16 @@
         calls.iter().filter(|s| !s.is_prefill).cloned().collect()
     }
 
+    fn is_cut_off(&self, to: &Target) -> bool {
+        self.cut_off.borrow().contains(&*to.id)
+    }
+
+    async fn wait_until_cut_off(&self, to: &Target) {
+        while !self.is_cut_off(to) {
+            wait_ms(1).await;
+        }
+    }
+
     fn record(&self, to: &Target, call: &Call, is_prefill: bool) {
         self.calls.borrow_mut().push(ReceivedCall {
             id: to.id.to_string(),
@@ -296,11 +335,19 @@
             .and_then(VecDeque::pop_front);
         let fleet = self.fleet.borrow().clone();
         if let Some(fleet) = &fleet {
-            if fleet.is_down(&to.id) {
+            if fleet.is_down(&to.id) || self.is_cut_off(to) {
                 wait_ms(1).await;
                 return Err(CallFault::NotSent("refused".to_owned()));
             }
             fleet.record_arrival(&to.id);
+            if request.prompt.is_none() {
+                tokio::select! {
+                    outcome = fleet.run_plain(&to.id, request) => outcome?,
+                    () = self.wait_until_cut_off(to) => {
+                        return Err(CallFault::Broken("reset".to_owned()));
+                    }
+                }
+            }
             if fleet.is_deadly(request) {
                 fleet.deadly_calls.borrow_mut().push(Instant::now());
                 let crash = Chunk::Crash(EngineFleet::HEAD_TO_CRASH_MS);
@@ -379,7 +426,7 @@
     async fn refuses_connections(&self, to: &Target) -> bool {
         let fleet = self.fleet.borrow().clone();
         wait_ms(1).await;
-        fleet.is_some_and(|fleet| fleet.is_down(&to.id))
+        self.is_cut_off(to) || fleet.is_some_and(|fleet| fleet.is_down(&to.id))
     }
 
     fn close_idle(&self, _: &Target) {}
--- a/crates/yucca-serve/tests/common/site.rs
+++ b/crates/yucca-serve/tests/common/site.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use serde_json::json;
 use tokio::task::{JoinHandle, spawn_local};
@@ -21,6 +22,8 @@
 
 /// Number of engines of a site.
 pub const ENGINES: u8 = 12;
+/// Number of servers of a site with a plain service.
+pub const SERVERS: u8 = 4;
 const TICK_MS: u64 = 10;
 
 /// A host of a [`Site`].
@@ -47,6 +50,9 @@
     /// The hosts.
     pub members: RefCell<Vec<Rc<Member>>>,
     loss: f64,
+    kind: RouteKind,
+    /// Number of engines, or of servers of a plain service.
+    backends: u8,
     draws: Cell<u64>,
     /// Number of incarnations of each engine.
     incarnations: RefCell<Vec<u64>>,
@@ -55,8 +61,18 @@
 }
 
 impl Site {
-    /// Starts the hosts.
+    /// Starts hosts and engines.
     pub fn spawn(hosts: usize, loss: f64) -> Rc<Self> {
+        let kind = RouteKind::Stream { is_resumable: true };
+        Self::spawn_kind(hosts, loss, kind, ENGINES)
+    }
+
+    /// Starts hosts and the servers of a plain service.
+    pub fn spawn_plain(hosts: usize, loss: f64, kind: RouteKind) -> Rc<Self> {
+        Self::spawn_kind(hosts, loss, kind, SERVERS)
+    }
+
+    fn spawn_kind(hosts: usize, loss: f64, kind: RouteKind, backends: u8) -> Rc<Self> {
         let store = FakeStore::new();
         for number in 0..hosts {
             let value = json!({ "address": address(number), "zone": "a" });
@@ -67,8 +83,10 @@
             store,
             members: RefCell::default(),
             loss,
+            kind,
+            backends,
             draws: Cell::new(1),
-            incarnations: RefCell::new(vec![1; usize::from(ENGINES)]),
+            incarnations: RefCell::new(vec![1; usize::from(backends)]),
             served: RefCell::default(),
         });
         for number in 0..hosts {
@@ -80,8 +98,7 @@
     }
 
     fn start(&self, number: usize) -> Rc<Member> {
-        let kind = RouteKind::Stream { is_resumable: true };
-        let config = super::serving_host(super::route(kind, 2)).config();
+        let config = super::serving_host(super::route(self.kind, 2)).config();
         let own = Deployment {
             name: format!("entry-{number}"),
             ..deployment()
@@ -102,7 +119,7 @@
             is_isolated: Cell::new(false),
             task,
         });
-        for engine in 0..ENGINES {
+        for engine in 0..self.backends {
             self.list_engine(&member.host, engine);
         }
         member
@@ -116,7 +133,11 @@
     }
 
     fn list_engine(&self, host: &Host<FakeBackends>, engine: u8) {
-        let mut entry = entry("model", engine, Phase::Decode);
+        let service = match self.kind {
+            RouteKind::Stream { .. } => "model",
+            RouteKind::Idempotent | RouteKind::AtMostOnce => "desk",
+        };
+        let mut entry = entry(service, engine, Phase::Decode);
         entry.started_ms = self.incarnations.borrow()[usize::from(engine)];
         let id = engine_id(engine);
         let revision = entry.started_ms;
@@ -126,10 +147,10 @@
 
     /// Delivers datagrams and lists restarted engines, for as long as the test runs.
     async fn run(self: Rc<Self>) {
-        let mut was_down = vec![false; usize::from(ENGINES)];
+        let mut was_down = vec![false; usize::from(self.backends)];
         loop {
             wait_ms(TICK_MS).await;
-            for engine in 0..ENGINES {
+            for engine in 0..self.backends {
                 let is_down = self.fleet.is_down(&engine_id(engine));
                 if std::mem::replace(&mut was_down[usize::from(engine)], is_down) && !is_down {
                     self.incarnations.borrow_mut()[usize::from(engine)] += 1;
@@ -187,10 +208,7 @@
     /// Sends a request with the given parts through a random host. Returns the status, and whether
     /// the response is complete.
     pub async fn attempt(&self, parts: Vec<u64>) -> (u16, bool) {
-        let member = {
-            let members = self.members.borrow();
-            Rc::clone(&members[self.draw(members.len() as u64) as usize])
-        };
+        let member = self.random_member();
         for engine in 0..ENGINES {
             let chunks = vec![
                 super::Chunk::Bytes(3, "id: 1\ndata: a\n\n"),
@@ -217,6 +235,35 @@
         (status, status == 200 && is_complete)
     }
 
+    fn random_member(&self) -> Rc<Member> {
+        let members = self.members.borrow();
+        Rc::clone(&members[self.draw(members.len() as u64) as usize])
+    }
+
+    /// Sends a request with the given body to the plain service through a random host, and again
+    /// through others as callers do: up to `repeats` times if the status does not say that it can
+    /// not be served, and it may be repeated. Returns the last status.
+    pub async fn call_plain(&self, body: String, repeats: u32) -> u16 {
+        let body = Bytes::from(body);
+        let mut status = 0;
+        for _ in 0..=repeats {
+            let member = self.random_member();
+            let request = Request {
+                id: format!("r{}", self.draw(u64::MAX >> 34)),
+                body: body.clone(),
+                ..super::request()
+            };
+            status = serve(&member.host, request).await.head.status.as_u16();
+            let is_not_run = matches!(status, 429 | 503);
+            let may_repeat = is_not_run || self.kind == RouteKind::Idempotent;
+            if matches!(status, 200 | 422) || !may_repeat {
+                break;
+            }
+            wait_ms(5).await;
+        }
+        status
+    }
+
     /// Sends sound requests, which share their first part with the deadly ones, until the test
     /// ends.
     pub async fn send_sound(self: Rc<Self>, interval_ms: u64) {
