Blame requests for crashes of plain servers

Cause: crash_cause was fed by streams only. A crash of a plain server blamed nothing, so each host sent the request on to the next server.

Ruled out: overload (servers with a single request crash), the hosts' retries (requests that must not be repeated crash as many).

Change: a server that breaks a connection within a request, and then refuses new ones, blames the whole request. A complete response with a length or chunks proves it sound. A request that was blamed before is not sent again by the host. The blame is recorded also if the caller leaves while the server is probed.

serve_deadly_request_reaches_few_servers failed with 15 late calls (3 allowed), and passes.

--- a/crates/yucca-serve/src/crashes.rs
+++ b/crates/yucca-serve/src/crashes.rs
@@ -1,8 +1,11 @@
-//! Requests whose prompts crash engines: which requests a crash blames, which responses prove their
-//! parts sound, and which requests are refused.
+//! Requests that crash the backends that run them: which requests a crash blames, which responses
+//! prove them or the parts of their prompts sound, and which requests are refused.
 //!
 //! [`yuccacove::crash_cause`] decides; this module tells it what the host sees.
 
+use std::rc::Rc;
+
+use tokio::task::spawn_local;
 use yucca_io::log;
 use yuccacove::crash_cause::{CrashId, PartKey};
 use yuccacove::event::Event;
@@ -12,6 +15,7 @@
 use crate::host::Host;
 use crate::ports::Backends;
 use crate::request::Request;
+use crate::serve::RequestContext;
 
 /// Returns what may make a request crash backends of `service`: each part of its prompt but the
 /// last, which is its own, and at the end the request as a whole.
@@ -45,21 +49,27 @@
     ))
 }
 
-/// Handles the loss of the connection on which the engine `key` had begun its response to a request
-/// with `keys`, before any event. If the engine has crashed, that blames the request. Returns
-/// whether the request may be sent to another engine.
-///
-/// A request that nothing blamed before may, because engines mostly crash for other reasons.
-pub async fn record_break<B: Backends>(
-    host: &Host<B>,
-    request_id: &str,
-    key: BackendKey,
-    keys: &[PartKey],
-) -> bool {
+/// Handles the loss of the connection on which the backend `key` ran a request: an engine had begun
+/// its response, without an event so far, or a plain server had not completed it. If the backend
+/// has crashed, that blames the request. Returns whether the request may be sent to another
+/// backend.
+pub async fn record_break<B: Backends>(context: &RequestContext<B>, key: BackendKey) -> bool {
+    let host = Rc::clone(&context.host);
+    let request_id = context.request.id.clone();
+    let keys = context.crash_keys.clone();
+    // The blame counts also if the caller leaves meanwhile, which drops the request.
+    let recording = spawn_local(async move {
+        let target = host.target(key);
+        let is_crash = host.backends.refuses_connections(&target).await;
+        !is_crash || record_crash(&host, &request_id, key, &keys)
+    });
+    recording.await.unwrap_or(true)
+}
+
+/// Blames a request for a crash. Returns whether it may be sent to another backend: one that
+/// nothing blamed before may, because backends mostly crash for other reasons.
+fn record_crash<B>(host: &Host<B>, request_id: &str, key: BackendKey, keys: &[PartKey]) -> bool {
     let target = host.target(key);
-    if !host.backends.refuses_connections(&target).await {
-        return true;
-    }
     let now_ms = host.now_ms();
     let started_ms = host.directory.borrow().get(key).entry.started_ms;
     let crash = CrashId(hash_of((&*target.id, started_ms)));
@@ -80,7 +90,8 @@
     may_retry
 }
 
-/// Records that a response to a request with `keys` has its first event.
+/// Records that a response to a request with `keys` has its first event, or is complete if it comes
+/// from a plain server.
 pub fn record_sound<B>(host: &Host<B>, keys: &[PartKey]) {
     let now_ms = host.now_ms();
     let is_refuting = host.crash_causes.borrow_mut().record_sound(keys, now_ms);
--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -72,7 +72,7 @@
     pub peer_updates: Notify,
     /// Demand for the model engines, over all hosts.
     pub demand: RefCell<PoolDemand>,
-    /// Parts of prompts that crash engines.
+    /// Requests and parts of prompts that crash the backends that run them.
     pub crash_causes: RefCell<CrashCauses>,
     /// Rate limits that backends name for all hosts together.
     pub rates: RefCell<FleetRates>,
--- a/crates/yucca-serve/src/metrics.rs
+++ b/crates/yucca-serve/src/metrics.rs
@@ -38,9 +38,9 @@
     pub requests: Counter,
     /// Retries, that is attempts after the first one of a request.
     pub retries: Counter,
-    /// Crashes of engines that began their response to a request of this host.
+    /// Requests of this host under which a backend crashed.
     pub engine_crashes: Counter,
-    /// Parts of prompts that are refused because they crashed engines.
+    /// Requests and parts of prompts that are refused because they crashed backends.
     pub refused_parts: Gauge,
     /// Calls to the object store.
     pub store_calls: Rc<StoreCalls>,
@@ -108,12 +108,12 @@
         registry.register("retries", "Second sends to back ends", self.retries.clone());
         registry.register(
             "engine_crashes",
-            "Engines that crashed when they began their response to a request",
+            "Requests under which a back end crashed",
             self.engine_crashes.clone(),
         );
         registry.register(
             "refused_parts",
-            "Parts of prompts that are refused because they crashed engines",
+            "Requests and parts of prompts that are refused because they crashed back ends",
             self.refused_parts.clone(),
         );
         registry.register(
--- a/crates/yucca-serve/src/plain.rs
+++ b/crates/yucca-serve/src/plain.rs
@@ -9,6 +9,7 @@
 use yuccacove::event::Event;
 
 use crate::choose;
+use crate::crashes;
 use crate::host::InFlight;
 use crate::loads::Reservation;
 use crate::named_limits;
@@ -25,6 +26,9 @@
 pub async fn serve<B: Backends>(context: &RequestContext<B>) -> Reply {
     let mut failed_reply = None;
     loop {
+        if context.crashes_backends() {
+            return failed_reply.unwrap_or_else(|| context.refuse(Code::SuspectRefused));
+        }
         let host = &context.host;
         let key = {
             let excluded = context.excluded_backends();
@@ -75,7 +79,15 @@
             Err(fault) => (Progress::NoHead, Err(fault)),
         };
         match outcome {
-            Ok(Outcome::Complete(head, body)) => {
+            Ok(Outcome::Complete {
+                head,
+                body,
+                is_framed,
+            }) => {
+                // A body without a length that ends may be due to the end of the process.
+                if is_framed {
+                    crashes::record_sound(host, &context.crash_keys);
+                }
                 let is_good = !head.status.is_server_error();
                 record_health(context, key, is_good);
                 let reply = Reply::complete(head, body);
@@ -93,7 +105,12 @@
                 if matches!(fault, CallFault::NotSent(_)) {
                     context.restore_attempts(attempts_before);
                 }
-                if !context.record_failure(key, Stage::Run, progress, &fault, state_before) {
+                let may_repeat =
+                    context.record_failure(key, Stage::Run, progress, &fault, state_before);
+                drop(in_flight);
+                let is_broken = matches!(fault, CallFault::Broken(_));
+                let is_safe = !is_broken || crashes::record_break(context, key).await;
+                if !may_repeat || !is_safe {
                     return failed_reply
                         .unwrap_or_else(|| context.refuse(Code::BackendUnreachable));
                 }
@@ -103,7 +120,11 @@
 }
 
 enum Outcome<B> {
-    Complete(Parts, Bytes),
+    Complete {
+        head: Parts,
+        body: Bytes,
+        is_framed: bool,
+    },
     /// Head, the bytes read so far, and the remaining body.
     TooLong(Parts, Bytes, B),
 }
@@ -128,7 +149,11 @@
         let cause = "connection ended before the body";
         return Err(CallFault::Broken(cause.to_owned()));
     }
-    Ok(Outcome::Complete(head, bytes.freeze()))
+    Ok(Outcome::Complete {
+        head,
+        body: bytes.freeze(),
+        is_framed,
+    })
 }
 
 fn stream_rest<B: Backends>(
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -142,8 +142,8 @@
         u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
     }
 
-    /// Whether the request must not reach an engine, because it would crash it.
-    pub fn crashes_engines(&self) -> bool {
+    /// Whether the request must not reach a backend, because it would crash it.
+    pub fn crashes_backends(&self) -> bool {
         let now_ms = self.host.now_ms();
         let causes = self.host.crash_causes.borrow();
         causes.is_refused(&self.crash_keys, now_ms)
@@ -352,7 +352,7 @@
                 other if other.outcome() == Outcome::NotRun => other,
                 _ => Code::NoBackend,
             };
-            // A request that crashes engines is not to come again.
+            // A request that crashes backends is not to come again.
             let retry_after_ms = (code != Code::SuspectRefused).then_some(retry_after_ms);
             return refuse(host, &self.request.id, code, retry_after_ms);
         }
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -112,7 +112,7 @@
 ) -> Result<EngineChoice, Box<Reply>> {
     let mut is_held = false;
     loop {
-        if context.crashes_engines() {
+        if context.crashes_backends() {
             return Err(Box::new(context.refuse(Code::SuspectRefused)));
         }
         let Some(choice) = choose_engines(context) else {
@@ -205,7 +205,7 @@
         return Err(Box::new(context.refuse_unplaced()));
     };
     // The cause of crashes may have become known during the remote prefill.
-    if context.crashes_engines() {
+    if context.crashes_backends() {
         return Err(Box::new(context.refuse(Code::SuspectRefused)));
     }
     let attempts_before = context.attempts();
@@ -589,14 +589,8 @@
                 let (key, progress) = (opened.key, opened.progress);
                 // The failed attempt is closed before another one starts.
                 drop(opened);
-                let is_safe = progress != Progress::Head
-                    || crashes::record_break(
-                        &context.host,
-                        &context.request.id,
-                        key,
-                        &context.crash_keys,
-                    )
-                    .await;
+                let is_safe =
+                    progress != Progress::Head || crashes::record_break(context, key).await;
                 if !may_repeat || !is_safe {
                     break;
                 }
--- a/src/crash_cause.rs
+++ b/src/crash_cause.rs
@@ -1,8 +1,11 @@
-//! Identification of the parts of prompts that crash the engines that run them.
+//! Identification of the requests, and of the parts of prompts, that crash the backends that run
+//! them.
 //!
 //! An engine crashes when it begins to write a response. Each crash therefore blames the parts of
 //! the requests whose responses had begun and had no event yet. A response with an event proves
-//! that its parts are sound, which refutes earlier blame.
+//! that its parts are sound, which refutes earlier blame. A plain server shows nothing before its
+//! response is complete: its crash blames all requests that it had not answered, each of which
+//! counts as a single part, and a complete response proves its request sound.
 //!
 //! Parts that were blamed for the same crashes cannot be told apart. A request is refused only if
 //! it contains a part with enough crashes and all parts that cannot be told apart from it, so that
@@ -50,16 +53,16 @@
 /// Maximum number of sound parts in each of the two generations that are kept.
 const MAX_SOUND: usize = 4_096;
 
-/// Identifies a part of a prompt.
+/// Identifies a part of a prompt, or a whole request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct PartKey {
-    /// Identifies the service, whose engines run the same software.
+    /// Identifies the service, whose backends run the same software.
     pub scope: u64,
     /// Identifies the content of the part.
     pub id: u64,
 }
 
-/// Identifies the crash of one incarnation of an engine.
+/// Identifies the crash of one incarnation of a backend.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct CrashId(pub u64);
 
@@ -168,7 +171,7 @@
 }
 
 impl CrashCauses {
-    /// Records that an engine crashed `age_ms` ago while it began a response to a request with
+    /// Records that a backend crashed `age_ms` ago while it began a response to a request with
     /// `parts`.
     pub fn record_crash(&mut self, crash: CrashId, parts: &[PartKey], age_ms: u64, now_ms: u64) {
         let report = CrashReport {
--- a/src/event.rs
+++ b/src/event.rs
@@ -52,11 +52,11 @@
     BackendReturned = 303, "backend_returned", "An ejected backend receives work again.";
     ConnectionRetired = 304, "connection_retired", "A connection without progress was closed.";
     CrossedAnswer = 305, "crossed_answer", "A response with another request's id was discarded.";
-    SuspectConvicted = 306, "suspect_convicted", "A request's content is refused because engines crashed while running it.";
+    SuspectConvicted = 306, "suspect_convicted", "A request's content is refused because backends crashed while running it.";
     BackendJoined = 307, "backend_joined", "A backend is listed as serving.";
     BackendLeft = 308, "backend_left", "A backend is listed as draining, or no longer listed.";
     BackendPhase = 309, "backend_phase", "An engine is listed with a different phase.";
-    CrashObserved = 310, "crash_observed", "An engine crashed when it began its response to a request.";
+    CrashObserved = 310, "crash_observed", "A backend crashed while it ran a request.";
     BackendLimited = 311, "backend_limited", "A backend names another limit for all hosts together, or none any more.";
     StoreLost = 401, "store_lost", "The object API does not answer.";
     StoreBack = 402, "store_back", "The object API answers again.";
