Try requests one at a time after crashes at the same moment

Callers would see, as only a test shows so far: a request that comes to several hosts at once crashes all servers of a small service together, each time that they are back.

Cause: crashes within 100 ms count as one, because a lost rack looks the same. A request that crashes three servers at once thus needs two such rounds, and 6 calls (3 allowed) reached servers after the allowed time. Class: evidence that is dropped because another cause could explain it, without a way to get better evidence.

Change: a whole request that several crashes at the same moment blame is on trial. Each host waits a multiple of 150 ms that differs between hosts and runs one at a time. The first crash or complete response is the verdict, which goes to all hosts at once.

--- a/crates/yucca-serve/src/crashes.rs
+++ b/crates/yucca-serve/src/crashes.rs
@@ -7,7 +7,7 @@
 
 use tokio::task::spawn_local;
 use yucca_io::log;
-use yuccacove::crash_cause::{CrashId, PartKey};
+use yuccacove::crash_cause::{CrashId, PartKey, trial_delay_ms};
 use yuccacove::event::Event;
 
 use crate::directory::BackendKey;
@@ -17,6 +17,9 @@
 use crate::request::Request;
 use crate::serve::RequestContext;
 
+/// Interval at which a request that waits for its trial checks for the verdict.
+pub const TRIAL_POLL_MS: u64 = 10;
+
 /// Returns what may make a request crash backends of `service`: each part of its prompt but the
 /// last, which is its own, and at the end the request as a whole.
 pub fn keys(service: &str, request: &Request) -> Vec<PartKey> {
@@ -49,6 +52,55 @@
     ))
 }
 
+/// A request on trial that this host has sent to a backend; dropping it permits the next one.
+#[derive(Debug)]
+pub struct Trial<B> {
+    host: Rc<Host<B>>,
+    request: PartKey,
+}
+
+impl<B> Drop for Trial<B> {
+    fn drop(&mut self) {
+        self.host.trials.borrow_mut().swap_remove(&self.request);
+    }
+}
+
+/// Whether a request that may crash backends is sent to one.
+#[derive(Debug)]
+pub enum Permission<B> {
+    /// It may be sent at once.
+    Granted,
+    /// It is on trial and may be sent; the next one waits for its outcome.
+    OnTrial(Trial<B>),
+    /// It is on trial, and another one is to be tried before.
+    Wait,
+    /// It must not be sent.
+    Denied,
+}
+
+/// Decides whether a request with `keys`, which has waited `waited_ms` for its trial, is sent to a
+/// backend.
+pub fn permission<B>(host: &Rc<Host<B>>, keys: &[PartKey], waited_ms: u64) -> Permission<B> {
+    let now_ms = host.now_ms();
+    let causes = host.crash_causes.borrow();
+    if causes.is_refused(keys, now_ms) {
+        return Permission::Denied;
+    }
+    let Some(request) = keys.last().filter(|key| causes.is_on_trial(**key, now_ms)) else {
+        return Permission::Granted;
+    };
+    let own = hash_of(&host.deployment.name);
+    let others = host.peers.ids().into_iter().map(|id| id.0);
+    let is_due = waited_ms >= trial_delay_ms(*request, own, others);
+    if !is_due || !host.trials.borrow_mut().insert(*request) {
+        return Permission::Wait;
+    }
+    Permission::OnTrial(Trial {
+        host: Rc::clone(host),
+        request: *request,
+    })
+}
+
 /// Handles the loss of the connection on which the backend `key` ran a request: an engine had begun
 /// its response, without an event so far, or a plain server had not completed it. If the backend
 /// has crashed, that blames the request. Returns whether the request may be sent to another
--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -3,11 +3,11 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 use yucca_io::log;
-use yuccacove::crash_cause::CrashCauses;
+use yuccacove::crash_cause::{CrashCauses, PartKey};
 use yuccacove::event::Event;
 use yuccacove::fleet_rate::{FleetRates, HostId};
 use yuccacove::phase_split::PoolDemand;
@@ -74,6 +74,8 @@
     pub demand: RefCell<PoolDemand>,
     /// Requests and parts of prompts that crash the backends that run them.
     pub crash_causes: RefCell<CrashCauses>,
+    /// Requests on trial that this host has sent to a backend.
+    pub trials: RefCell<IndexSet<PartKey>>,
     /// Rate limits that backends name for all hosts together.
     pub rates: RefCell<FleetRates>,
     /// Metrics of this host.
@@ -102,6 +104,7 @@
             peer_updates: Notify::new(),
             demand: RefCell::default(),
             crash_causes: RefCell::default(),
+            trials: RefCell::default(),
             rates: RefCell::new(FleetRates::new(own, draw_seed as u32)),
             metrics: Metrics::default(),
             config: RefCell::default(),
--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -276,8 +276,8 @@
     addressed.collect()
 }
 
-/// Returns the datagrams on parts of prompts that crash engines: new blame for all hosts, and
-/// refutations and samples for a few.
+/// Returns the datagrams on requests and parts of prompts that crash backends: new blame and
+/// refutations that other hosts wait for go to all hosts, other refutations and samples to a few.
 fn crash_updates<B>(host: &Host<B>, is_sample_due: bool) -> Vec<(Vec<SocketAddr>, Datagram)> {
     let now_ms = host.now_ms();
     let mut causes = host.crash_causes.borrow_mut();
@@ -285,15 +285,15 @@
     let hosts = host.peers.hosts.borrow();
     let all: Vec<SocketAddr> = hosts.values().map(|peer| peer.address).collect();
     let datagram = |reports: &[PartReport]| Datagram::Crashes(reports.to_vec());
-    let blamed = changes.blamed.chunks(MAX_PART_REPORTS);
-    let blamed = blamed
+    let urgent = changes.urgent.chunks(MAX_PART_REPORTS);
+    let urgent = urgent
         .take(MAX_CRASH_DATAGRAMS)
         .map(|reports| (all.clone(), datagram(reports)));
     let refuted = changes.refuted.chunks(MAX_PART_REPORTS);
     let refuted = refuted
         .take(MAX_CRASH_DATAGRAMS)
         .map(|reports| (sample_recipients(host, &all), datagram(reports)));
-    let mut updates: Vec<_> = blamed.chain(refuted).collect();
+    let mut updates: Vec<_> = urgent.chain(refuted).collect();
     if is_sample_due {
         let sample = causes.sample(host.draw(), MAX_PART_REPORTS, now_ms);
         if !sample.is_empty() {
--- a/crates/yucca-serve/src/plain.rs
+++ b/crates/yucca-serve/src/plain.rs
@@ -3,13 +3,13 @@
 use bytes::{Bytes, BytesMut};
 use http::response::Parts;
 use tokio::sync::mpsc;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Duration, Instant, sleep, timeout_at};
 use yucca_io::log;
 use yuccacove::code::Code;
 use yuccacove::event::Event;
 
 use crate::choose;
-use crate::crashes;
+use crate::crashes::{self, Permission, TRIAL_POLL_MS};
 use crate::host::InFlight;
 use crate::loads::Reservation;
 use crate::named_limits;
@@ -25,11 +25,13 @@
 /// the route allows it.
 pub async fn serve<B: Backends>(context: &RequestContext<B>) -> Reply {
     let mut failed_reply = None;
+    let mut waited_ms = 0;
     loop {
-        if context.crashes_backends() {
+        let host = &context.host;
+        let permission = crashes::permission(host, &context.crash_keys, waited_ms);
+        if matches!(permission, Permission::Denied) {
             return failed_reply.unwrap_or_else(|| context.refuse(Code::SuspectRefused));
         }
-        let host = &context.host;
         let key = {
             let excluded = context.excluded_backends();
             let directory = host.directory.borrow();
@@ -44,6 +46,11 @@
                 host.draw(),
             )
         };
+        if key.is_some() && matches!(permission, Permission::Wait) {
+            waited_ms += TRIAL_POLL_MS;
+            sleep(Duration::from_millis(TRIAL_POLL_MS)).await;
+            continue;
+        }
         if let Some(key) = key
             && !context.ensure_grant(key).await
         {
@@ -108,6 +115,7 @@
                 let may_repeat =
                     context.record_failure(key, Stage::Run, progress, &fault, state_before);
                 drop(in_flight);
+                drop(permission);
                 let is_broken = matches!(fault, CallFault::Broken(_));
                 let is_safe = !is_broken || crashes::record_break(context, key).await;
                 if !may_repeat || !is_safe {
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -14,7 +14,7 @@
 use yuccacove::forecast::{Decision, Forecast};
 
 use crate::choose::{self, EngineChoice, PlacementInput};
-use crate::crashes;
+use crate::crashes::{self, Permission, TRIAL_POLL_MS};
 use crate::directory::{BackendKey, Directory};
 use crate::events::EventBuffer;
 use crate::host::{Host, InFlight};
@@ -65,6 +65,8 @@
     response: BackendResponse<B::Body>,
     progress: Progress,
     _in_flight: InFlight<B>,
+    /// Ends the trial of the request, if it is on trial, together with the attempt.
+    permission: Permission<B>,
 }
 
 /// Releases the KV cache of a remote prefill on drop, unless an engine has fetched it.
@@ -95,16 +97,36 @@
     resume_after: Option<u64>,
 ) -> Result<OpenStream<B>, Box<Reply>> {
     loop {
+        let permission = wait_for_permission(context).await?;
         let choice = choose_admitted(context).await?;
         let Some(kv_cache) = prefill_if_remote(context, &choice).await? else {
             continue;
         };
-        if let Some(opened) = attempt_once(context, &choice, kv_cache, resume_after).await? {
+        let attempt = attempt_once(context, &choice, kv_cache, resume_after).await?;
+        if let Some(mut opened) = attempt {
+            opened.permission = permission;
             return Ok(opened);
         }
     }
 }
 
+/// Waits while the request is on trial elsewhere. The error is the final reply.
+async fn wait_for_permission<B: Backends>(
+    context: &RequestContext<B>,
+) -> Result<Permission<B>, Box<Reply>> {
+    let mut waited_ms = 0;
+    loop {
+        match crashes::permission(&context.host, &context.crash_keys, waited_ms) {
+            Permission::Denied => return Err(Box::new(context.refuse(Code::SuspectRefused))),
+            Permission::Wait => {
+                waited_ms += TRIAL_POLL_MS;
+                sleep(Duration::from_millis(TRIAL_POLL_MS)).await;
+            }
+            permission => return Ok(permission),
+        }
+    }
+}
+
 /// Chooses the engines for the request and waits until it is admitted. The error is the final
 /// reply.
 async fn choose_admitted<B: Backends>(
@@ -224,6 +246,7 @@
                 response,
                 progress: Progress::Head,
                 _in_flight: in_flight,
+                permission: Permission::Granted,
             }))
         }
         Err(fault) => {
--- a/src/crash_cause.rs
+++ b/src/crash_cause.rs
@@ -11,6 +11,11 @@
 //! it contains a part with enough crashes and all parts that cannot be told apart from it, so that
 //! other requests with some of them go on and prove them sound.
 //!
+//! Several crashes at the same moment may have another cause, such as the loss of a rack, and blame
+//! requests that many callers send. A whole request with such blame is on trial: hosts run it one
+//! after the other, see [`trial_delay_ms`], until a crash identifies it or a response proves it
+//! sound.
+//!
 //! Hosts exchange [`PartReport`]s. Merging them is commutative and idempotent: crashes are only
 //! added, and a refutation is never withdrawn before both expire. Nothing renews a crash, so that
 //! hosts do not keep blame alive for each other.
@@ -35,6 +40,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::signed_time::signed_ms;
+use crate::splitmix::splitmix64;
 
 /// Time in ms after its last crash for which an identified part is refused.
 const IDENTIFIED_MS: i64 = 600_000;
@@ -45,6 +51,12 @@
 /// Crashes within this time in ms count as one: engines of a lost rack end at the same moment, and
 /// hosts notice it at slightly different times.
 const SAME_CAUSE_MS: i64 = 100;
+/// Time in ms between the trials of a request at different hosts: a crash is known to all hosts by
+/// then.
+const TRIAL_INTERVAL_MS: u64 = 150;
+/// Number of different delays before a trial. It limits the wait of a sound request in a large
+/// fleet, where few hosts have the same request at the same moment.
+const TRIAL_DELAYS: u64 = 10;
 /// Maximum number of crashes that are kept for a part.
 const MAX_CRASHES: usize = 8;
 /// Maximum number of parts with crashes. Those with the fewest crashes are evicted first, so that
@@ -120,6 +132,11 @@
         counted
     }
 
+    /// Whether several crashes blame the part, which may all have one cause.
+    fn is_on_trial(&self) -> bool {
+        !self.is_identified() && self.live().count() >= CRASHES_TO_REFUSE
+    }
+
     fn is_identified(&self) -> bool {
         self.crash_count() >= CRASHES_TO_REFUSE
     }
@@ -146,6 +163,15 @@
     }
 }
 
+/// Returns how long the host `own` waits for the verdict of other hosts before it runs a request on
+/// trial itself, in ms. Hosts that have the request at the same moment thus run it in turn.
+pub fn trial_delay_ms(request: PartKey, own: u64, others: impl Iterator<Item = u64>) -> u64 {
+    let rank = |host: u64| splitmix64(request.id ^ host);
+    let own_rank = rank(own);
+    let hosts_before = others.filter(|host| rank(*host) < own_rank).count() as u64;
+    hosts_before % TRIAL_DELAYS * TRIAL_INTERVAL_MS
+}
+
 /// The parts that crashes blame, as far as this host knows. Times are on the host's monotonic
 /// clock.
 #[derive(Debug, Default)]
@@ -155,8 +181,9 @@
     /// the response that refutes its blame. When the newer generation is full, it replaces the
     /// older one.
     sound: [IndexMap<PartKey, u64>; 2],
-    /// Parts that this host blamed since [`CrashCauses::take_changes`].
-    blamed: IndexSet<PartKey>,
+    /// Parts that this host blamed since [`CrashCauses::take_changes`], and those whose blame for
+    /// several crashes it refuted.
+    urgent: IndexSet<PartKey>,
     /// Parts whose blame this host refuted since then.
     refuted: IndexSet<PartKey>,
 }
@@ -164,8 +191,9 @@
 /// Changes that a host made by its own observations.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct Changes {
-    /// Parts that are newly blamed. Every host must learn them soon.
-    pub blamed: Vec<PartReport>,
+    /// Parts that are newly blamed, and those proved sound that hosts refuse or have on trial. Every
+    /// host must learn them soon.
+    pub urgent: Vec<PartReport>,
     /// Parts that were proved sound. Most hosts prove parts that are used often by themselves.
     pub refuted: Vec<PartReport>,
 }
@@ -181,7 +209,7 @@
         };
         for part in parts {
             if self.merge_crash(*part, report, now_ms) {
-                self.blamed.insert(*part);
+                self.urgent.insert(*part);
             }
         }
         self.evict(now_ms);
@@ -196,6 +224,9 @@
             let Some(known) = self.parts.get_mut(part) else {
                 continue;
             };
+            if known.live().count() >= CRASHES_TO_REFUSE {
+                self.urgent.insert(*part);
+            }
             for blame in known.blames.iter_mut().filter(|blame| !blame.is_refuted) {
                 blame.is_refuted = true;
                 is_refuting = true;
@@ -225,6 +256,12 @@
         })
     }
 
+    /// Whether the whole request `request` is on trial.
+    pub fn is_on_trial(&self, request: PartKey, now_ms: u64) -> bool {
+        let known = self.known(&request, now_ms);
+        known.is_some_and(Part::is_on_trial)
+    }
+
     /// Whether any of `parts` is blamed for a crash.
     pub fn is_suspect(&self, parts: &[PartKey], now_ms: u64) -> bool {
         parts.iter().any(|part| {
@@ -256,19 +293,20 @@
 
     /// Whether [`CrashCauses::take_changes`] has anything to return.
     pub fn has_changes(&self) -> bool {
-        !self.blamed.is_empty() || !self.refuted.is_empty()
+        !self.urgent.is_empty() || !self.refuted.is_empty()
     }
 
     /// Returns and forgets the changes that this host has made by its own observations.
     pub fn take_changes(&mut self, now_ms: u64) -> Changes {
-        let blamed = std::mem::take(&mut self.blamed);
-        let refuted = std::mem::take(&mut self.refuted);
+        let urgent = std::mem::take(&mut self.urgent);
+        let mut refuted = std::mem::take(&mut self.refuted);
+        refuted.retain(|part| !urgent.contains(part));
         let reports = |parts: IndexSet<PartKey>| {
             let reports = parts.iter().filter_map(|part| self.report(part, now_ms));
             reports.collect()
         };
         Changes {
-            blamed: reports(blamed),
+            urgent: reports(urgent),
             refuted: reports(refuted),
         }
     }
--- a/tests/crash_cause.rs
+++ b/tests/crash_cause.rs
@@ -1,6 +1,8 @@
 //! Tests which parts of prompts are identified as the cause of crashes.
 
-use yuccacove::crash_cause::{CrashCauses, CrashId, CrashReport, PartKey, PartReport};
+use yuccacove::crash_cause::{
+    CrashCauses, CrashId, CrashReport, PartKey, PartReport, trial_delay_ms,
+};
 
 const SHARED: PartKey = part(1);
 const DEADLY: PartKey = part(2);
@@ -39,6 +41,50 @@
     }
 }
 
+/// Guards against a trial that goes on after a verdict, or that no host but the first learns of.
+#[test]
+fn is_on_trial_until_verdict() {
+    let on_trial = || {
+        let mut causes = CrashCauses::default();
+        causes.record_crash(CrashId(1), &[DEADLY], 0, 1_000);
+        assert!(!causes.is_on_trial(DEADLY, 1_000));
+        causes.record_crash(CrashId(2), &[DEADLY], 0, 1_020);
+        assert!(causes.is_on_trial(DEADLY, 1_020));
+        assert!(!causes.is_refused(&[DEADLY], 1_020));
+        causes
+    };
+    let mut crashed = on_trial();
+    crashed.record_crash(CrashId(3), &[DEADLY], 0, 4_000);
+    assert!(!crashed.is_on_trial(DEADLY, 4_000));
+    assert!(crashed.is_refused(&[DEADLY], 4_000));
+
+    let (mut proved, mut other) = (on_trial(), on_trial());
+    proved.take_changes(1_030);
+    proved.record_sound(&[DEADLY], 4_000);
+    assert!(!proved.is_on_trial(DEADLY, 4_000));
+    let urgent = proved.take_changes(4_000).urgent;
+    other.merge(&urgent[0], 4_000);
+    assert!(!other.is_on_trial(DEADLY, 4_000));
+}
+
+/// Guards against hosts that run a request on trial at the same moment, and against waits that grow
+/// with the fleet.
+#[test]
+fn trial_delay_ms_differs_between_hosts() {
+    let delays = |hosts: u64| -> Vec<u64> {
+        let ids = 1..=hosts;
+        ids.clone()
+            .map(|own| trial_delay_ms(DEADLY, own, ids.clone().filter(|id| *id != own)))
+            .collect()
+    };
+    let mut seven = delays(7);
+    seven.sort_unstable();
+    assert_eq!(seven, [0, 150, 300, 450, 600, 750, 900]);
+    let many = delays(350);
+    assert!(many.iter().all(|delay_ms| *delay_ms < 1_500));
+    assert_eq!(many.iter().filter(|delay_ms| **delay_ms == 0).count(), 35);
+}
+
 /// Guards against counting one crash twice that several hosts report.
 #[test]
 fn is_refused_crash_reported_twice() {
