Give out no fencing token twice after the store was restored

Callers do not see it at once: after a restore the lease's object shows an earlier holder, epoch or nothing. A host that had not seen the later epochs acquired the lease with an epoch that was given out before; with a holder killed and a host started as the store returned, the epochs were 1, 2, 3, 2.

Cause: the lease state trusts its object to hold the highest epoch.

Change: a restore ends the authority. All hosts then wait for the TTL before they acquire the lease, whatever its object shows, since a holder that the copy lacks may act until then. The era counts in the upper bits of epochs. After three calls without a pause the lease loop pauses, whatever the cause. The in-memory store of the tests now names era 1 before its first restore, as the platform does.

maintain_lease_restored_store failed with the epochs above, and passes; so does restore_waits_for_unknown_holder for the state machine.

--- a/crates/yucca-emulator/src/store.rs
+++ b/crates/yucca-emulator/src/store.rs
@@ -30,7 +30,7 @@
 #[derive(Debug)]
 pub struct MemoryStore {
     mode: Cell<StoreMode>,
-    /// Number of times that the store was restored.
+    /// Rises by one each time that the store is restored.
     era: Cell<u64>,
     /// Incremented when all waiting watches are abandoned. A watch of an earlier generation receives no
     /// changes.
@@ -59,7 +59,7 @@
     pub fn new() -> Rc<Self> {
         Rc::new(Self {
             mode: Cell::new(StoreMode::Up),
-            era: Cell::new(0),
+            era: Cell::new(1),
             watch_generation: Cell::new(0),
             objects: RefCell::default(),
             stale: RefCell::default(),
--- a/crates/yucca-serve/src/roles.rs
+++ b/crates/yucca-serve/src/roles.rs
@@ -25,6 +25,7 @@
 use crate::ports::{
     Backends, CallFault, Freshness, Kind, Object, ObjectStore, OrderReply, PhaseOrder, StoreFault,
 };
+use crate::revision::era_of;
 
 /// Name of the lease object in the store.
 pub const LEASE_NAME: &str = "lease.engine-roles";
@@ -36,6 +37,13 @@
 const FIRST_PROBE_LIMIT: Duration = Duration::from_secs(3);
 /// Interval at which the lease loop checks whether the store is available again.
 const UNAVAILABLE_CHECK: Duration = Duration::from_millis(100);
+/// Number of calls without a pause: a read, an acquisition and a read after a conflict.
+const MAX_CALLS_IN_A_ROW: u32 = 3;
+/// Era of a store that was never restored. A store that names no era is in an earlier one.
+const FIRST_ERA: u64 = 1;
+/// Bits of an epoch below those that count restores of the store. Epochs are fencing tokens, and
+/// those given out since the copy are not known after a restore.
+const ERA_SHIFT: u32 = 32;
 /// Pause after a failed call to the store.
 const STORE_RETRY: Duration = Duration::from_millis(200);
 /// Time for which an order without a reply may still be carried out.
@@ -60,6 +68,8 @@
     /// Whether a probe of the store has returned a result, and whether it was a lease.
     is_probed: Cell<bool>,
     is_observed: Cell<bool>,
+    /// Era of the store that the state is based on; `None` before the first response.
+    era: Cell<Option<u64>>,
     changed: Notify,
     clock: Box<dyn Fn() -> u64>,
 }
@@ -77,6 +87,7 @@
             stagger_ms,
             is_probed: Cell::new(false),
             is_observed: Cell::new(false),
+            era: Cell::new(None),
             state: RefCell::new(LeaseState::new(host.to_owned(), timing)),
             changed: Notify::new(),
             clock: Box::new(clock),
@@ -91,6 +102,7 @@
     /// on a stale object fails with a conflict and has no effect. A stale read may also miss a lease
     /// that was created a moment ago, so `None` does not change the state.
     pub fn observe(&self, object: Option<&Object>) {
+        let object = object.filter(|object| self.is_of_era(era_of(object.revision)));
         if let Some(stored) = object.and_then(decode_lease) {
             self.is_observed.set(true);
             self.state.borrow_mut().observe(stored, self.now_ms());
@@ -99,6 +111,21 @@
         self.changed.notify_one();
     }
 
+    /// Starts anew if the store was restored from a copy. Authority under the lease ends, because the
+    /// store may show the lease as it was under an earlier holder.
+    fn follow_era(&self, era: u64) {
+        let known_era = self.era.replace(Some(era));
+        if known_era == Some(era) || (known_era.is_none() && era <= FIRST_ERA) {
+            return;
+        }
+        let epoch_floor = era.saturating_sub(FIRST_ERA) << ERA_SHIFT;
+        self.state.borrow_mut().restore(epoch_floor);
+    }
+
+    fn is_of_era(&self, era: u64) -> bool {
+        self.era.get().is_none_or(|known| known == era)
+    }
+
     /// Spreads the attempts of a fleet of `hosts` to acquire a free lease.
     fn set_hosts(&self, hosts: u32) {
         let stagger_ms = lease::scaled_stagger_ms(self.stagger_ms, hosts);
@@ -160,12 +187,21 @@
 ) {
     let mut is_held = false;
     lease.wait_for_observation().await;
+    let mut calls_in_a_row = 0;
     loop {
         if store_health.is_unavailable() {
             sleep(UNAVAILABLE_CHECK).await;
             log_change(&lease, &mut is_held);
             continue;
         }
+        // Before its first response the store names no era.
+        if store.era() > 0 {
+            lease.follow_era(store.era());
+        }
+        if calls_in_a_row >= MAX_CALLS_IN_A_ROW {
+            sleep(STORE_RETRY).await;
+        }
+        calls_in_a_row += 1;
         let next = lease
             .state
             .borrow_mut()
@@ -173,6 +209,10 @@
         match next {
             Next::Write(write) => {
                 let result = write_lease(&*store, &write).await;
+                if !lease.is_of_era(store.era()) {
+                    // The next step starts anew, whatever the write did.
+                    continue;
+                }
                 let is_lost = result == WriteResult::Lost;
                 lease.state.borrow_mut().written(result, lease.now_ms());
                 if is_lost {
@@ -183,6 +223,7 @@
                 .read(Kind::Leases, LEASE_NAME, Freshness::Latest)
                 .await
             {
+                Ok(_) if !lease.is_of_era(store.era()) => {}
                 Ok(object) => {
                     let absent = Stored {
                         version: 0,
@@ -194,6 +235,7 @@
                 Err(_) => sleep(STORE_RETRY).await,
             },
             Next::Wait { until_ms } => {
+                calls_in_a_row = 0;
                 let left_ms = until_ms.map_or(MAX_WAIT_MS, |t| t.saturating_sub(lease.now_ms()));
                 let wait = Duration::from_millis(left_ms.clamp(1, MAX_WAIT_MS));
                 // A timeout and a notification lead to the same next step.
--- a/crates/yucca-serve/tests/store_calls.rs
+++ b/crates/yucca-serve/tests/store_calls.rs
@@ -26,12 +26,16 @@
             .list(Kind::BackEnds, Freshness::MayLag)
             .await
             .expect("a listing");
+        let start = store.revision();
         counted
-            .watch(Kind::Config, 0, 10)
+            .watch(Kind::Config, start, 10)
             .await
             .expect("no changes");
         store.put(Kind::Config, "main", Some(json!({ "version": 1 })));
-        counted.watch(Kind::Config, 0, 10).await.expect("a change");
+        counted
+            .watch(Kind::Config, start, 10)
+            .await
+            .expect("a change");
         store.set_mode(StoreMode::Refusing);
         let refused = counted.read(Kind::Leases, "lease", Freshness::MayLag).await;
         refused.expect_err("a refusal");
@@ -56,8 +60,9 @@
         let metrics = Metrics::default();
         let calls = Rc::clone(&metrics.store_calls);
         let watching = spawn_local(async move {
+            let start = store.revision();
             let counted = CountedStore::new(store, calls);
-            counted.watch(Kind::Hosts, 0, 60_000).await
+            counted.watch(Kind::Hosts, start, 60_000).await
         });
         wait_ms(50).await;
         watching.abort();
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -192,6 +192,8 @@
     held: Option<Held>,
     pending: Option<Pending<H>>,
     highest_epoch: u64,
+    /// Epochs up to this one may have been given out without a trace in the store.
+    epoch_floor: u64,
     stopping: bool,
 }
 
@@ -205,10 +207,22 @@
             held: None,
             pending: None,
             highest_epoch: 0,
+            epoch_floor: 0,
             stopping: false,
         }
     }
 
+    /// Forgets the lease, because the store was restored from a copy: acquisitions since the copy are
+    /// gone. Any host then waits for the TTL before it acquires the lease, and its epoch exceeds
+    /// `epoch_floor`, which must not be lower than any epoch so far.
+    pub fn restore(&mut self, epoch_floor: u64) {
+        self.seen = None;
+        self.held = None;
+        self.pending = None;
+        self.epoch_floor = self.epoch_floor.max(epoch_floor);
+        self.highest_epoch = self.highest_epoch.max(epoch_floor);
+    }
+
     /// Delay of this host before it acquires a free lease.
     pub fn stagger_ms(&self) -> u64 {
         self.timing.stagger_ms
@@ -376,7 +390,8 @@
     /// act until the TTL ends.
     fn available_ms(&self, seen: &Seen<H>) -> u64 {
         let ttl_ms = match &seen.lease {
-            Some(lease) if lease.holder.is_none() => 0,
+            Some(lease) if lease.holder.is_none() && lease.epoch > self.epoch_floor => 0,
+            Some(lease) if lease.holder.is_none() && self.epoch_floor == 0 => 0,
             None if self.highest_epoch == 0 => 0,
             _ => self.timing.ttl_ms,
         };
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -205,3 +205,35 @@
     assert!(wait_ms(Standby::Watching) <= 8_000);
     assert!(wait_ms(Standby::Polling) > POLL_INTERVAL_MS + Timing::default().ttl_ms);
 }
+
+/// Guards against acquiring a lease whose last holder is missing from a restored store, and against
+/// an epoch that was given out since the copy.
+#[test]
+fn restore_waits_for_unknown_holder() {
+    let absent = Stored {
+        version: 0,
+        value: None,
+    };
+    let cases = [
+        ("absent", absent),
+        ("released before the copy", stored(3, lease(None, 4, 2))),
+        ("held before the copy", stored(3, lease(Some(2), 4, 2))),
+        ("held by this host", stored(3, lease(Some(1), 1, 0))),
+    ];
+    for (name, restored) in cases {
+        let mut state = holder(0, 10);
+        assert!(state.authority(100).is_some(), "{name}");
+        state.restore(1_000);
+        assert_eq!(state.authority(100), None, "{name}");
+        assert_eq!(state.advance(100, Token(1)), Next::Read, "{name}");
+        state.reread(restored, 200);
+        let available_ms = 200 + Timing::default().ttl_ms;
+        assert_eq!(
+            state.advance(available_ms - 1, Token(2)),
+            wait_until(available_ms),
+            "{name}"
+        );
+        let write = next_write(&mut state, available_ms);
+        assert!(write.value.epoch > 1_000, "{name}: {}", write.value.epoch);
+    }
+}
