Register hosts again whose entries a restored store lacks

Callers do not see it at once: a host that joined within the seconds before the copy is missing from the list of hosts after the restore, so that the others send it no load, blame or changes, and divide the retry budgets among too few hosts.

Cause: a host registered once and never looked again. Class: state in the store that its writer takes for permanent.

Change: a host that sees its entry removed, or missing from a later full listing, registers again. At rest this makes no call.

--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::time::{Duration, Instant, sleep, sleep_until};
 use yucca_io::log;
 use yuccacove::crash_cause::PartReport;
@@ -143,6 +144,8 @@
     unavailable: RefCell<Vec<EngineUnavailable>>,
     /// Time of the last samples of the blamed parts and of the limits.
     sample_ms: Cell<u64>,
+    /// Notified when this host's entry is missing from the store.
+    entry_lost: Notify,
 }
 
 impl Peers {
@@ -510,8 +513,17 @@
     }
 }
 
-/// Registers this host in the store, so that the others find it.
+/// Registers this host in the store, so that the others find it, for as long as the process lives:
+/// a restore of the store may remove the entry again.
 pub async fn register<B, S: ObjectStore>(host: Rc<Host<B>>, store: Rc<S>, address: SocketAddr) {
+    loop {
+        write_entry(&host, &*store, address).await;
+        host.peers.entry_lost.notified().await;
+    }
+}
+
+/// Writes the entry of this host, unless the host stops before.
+async fn write_entry<B, S: ObjectStore>(host: &Host<B>, store: &S, address: SocketAddr) {
     let name = object_name(&host.deployment.name);
     let value = json!({ "address": address.to_string(), "zone": host.deployment.zone });
     let mut expected = None;
@@ -522,7 +534,7 @@
                 return;
             }
             Err(StoreFault::Conflict(Some(object))) => expected = Some(object.revision),
-            Err(StoreFault::Missing) => expected = None,
+            Err(StoreFault::Missing | StoreFault::Conflict(None)) => expected = None,
             Err(_) => {}
         }
         sleep(REGISTER_RETRY).await;
@@ -549,6 +561,8 @@
     store: Rc<S>,
     store_health: Rc<StoreHealth>,
 ) {
+    let own_name = object_name(&host.deployment.name);
+    let mut is_first_listing = true;
     let apply = |objects: &Objects, is_full_listing: bool| {
         if is_full_listing {
             host.peers.hosts.borrow_mut().clear();
@@ -556,6 +570,16 @@
         for object in &objects.objects {
             apply_host(&host, object);
         }
+        let own_entry = objects
+            .objects
+            .iter()
+            .find(|object| object.name == own_name);
+        // The first listing may be older than the registration.
+        let is_missing = is_full_listing && !is_first_listing && own_entry.is_none();
+        is_first_listing &= !is_full_listing;
+        if is_missing || own_entry.is_some_and(|entry| entry.is_removed) {
+            host.peers.entry_lost.notify_one();
+        }
     };
     let follower = Follower {
         store: &*store,
