Send nothing to a backend that says in its responses that it leaves

Cause: the header was read nowhere, and while the store is away a host learned of no leaving backend.

The host applies them before each choice, as of the time of the response. A later entry that says ready does not bring the same incarnation back.

serve_leaving_backend_gets_no_requests failed without the call that applies the notices (requests went to desk-1), and passes.

--- a/crates/yucca-emulator/src/pool.rs
+++ b/crates/yucca-emulator/src/pool.rs
@@ -14,8 +14,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{Duration, Instant, sleep, sleep_until};
 use yucca_serve::ports::{
-    BackendResponse, Backends, Call, CallFault, EngineReport, Kind, KvCacheHandle, OrderReply,
-    PhaseOrder, Prefilled, Target,
+    BackendResponse, Backends, Call, CallFault, EngineReport, Kind, KvCacheHandle, Notice,
+    OrderReply, PhaseOrder, Prefilled, Target,
 };
 use yucca_serve::request::{Prompt, Request};
 use yuccacove::prompt_placement::Phase;
@@ -556,5 +556,9 @@
         false
     }
 
+    fn take_notices(&self) -> Vec<Notice> {
+        Vec::new()
+    }
+
     fn close_idle(&self, _: &Target) {}
 }
--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -89,6 +89,8 @@
     unavailable_until_ms: u64,
     revision: u64,
     registration: Registration,
+    /// Whether this incarnation has said that it is leaving, which its entry may not say.
+    has_announced_leaving: bool,
 }
 
 impl Backend {
@@ -114,6 +116,15 @@
         now_ms < self.unavailable_until_ms
     }
 
+    /// Records that a response of the backend says that it is leaving. Returns whether that is new.
+    pub fn announce_leaving(&mut self, now_ms: u64) -> bool {
+        let is_new = !std::mem::replace(&mut self.has_announced_leaving, true);
+        if is_new {
+            self.leave(now_ms);
+        }
+        is_new
+    }
+
     fn is_serving(&self, now_ms: u64) -> bool {
         match self.registration {
             Registration::Serving => true,
@@ -300,10 +311,11 @@
             backend.unavailable_until_ms = 0;
         }
         if is_restart {
+            backend.has_announced_leaving = false;
             backend.health = PassiveHealth::default();
             backend.load.reset();
         }
-        if is_draining {
+        if is_draining || backend.has_announced_leaving {
             backend.leave(now_ms);
             return if was_serving {
                 Change::Left(key)
@@ -386,6 +398,7 @@
             id_hash: hash_of(id),
             unavailable_until_ms: 0,
             revision,
+            has_announced_leaving: false,
             registration: if is_draining {
                 Registration::Leaving { since_ms: 0 }
             } else {
--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -20,7 +20,7 @@
 use crate::loads::Reservation;
 use crate::metrics::Metrics;
 use crate::peers::{Peers, PrefillAnnouncement};
-use crate::ports::Target;
+use crate::ports::{Backends, NoticeContent, Target};
 use crate::relay::Relay;
 
 /// Fraction of the allowed retries that hosts use. The rest is a margin, because hosts count their
@@ -125,6 +125,11 @@
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    fn time_ms(&self, at: Instant) -> u64 {
+        let since_start = at.saturating_duration_since(self.started);
+        u64::try_from(since_start.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Returns the active configuration, or `None` before the first one is received.
     pub fn config(&self) -> Option<Rc<ServingConfig>> {
         self.config.borrow().clone()
@@ -221,6 +226,30 @@
         self.peer_updates.notify_one();
     }
 
+    /// Applies what backends have said of themselves in responses. This works also without the store,
+    /// and before each choice of a backend.
+    pub fn apply_notices(&self)
+    where
+        B: Backends,
+    {
+        for notice in self.backends.take_notices() {
+            let at_ms = self.time_ms(notice.received);
+            let mut directory = self.directory.borrow_mut();
+            let Some(key) = directory.find(&notice.from) else {
+                continue;
+            };
+            let backend = directory.get_mut(key);
+            match notice.content {
+                NoticeContent::Leaving => {
+                    if backend.announce_leaving(at_ms) {
+                        let fields = format!("back_end={} source=response", notice.from);
+                        log::write(Event::BackendLeft, &fields);
+                    }
+                }
+            }
+        }
+    }
+
     /// Returns the id and the address for calls to a backend.
     pub fn target(&self, key: BackendKey) -> Target {
         self.directory.borrow().get(key).target.clone()
--- a/crates/yucca-serve/src/ports.rs
+++ b/crates/yucca-serve/src/ports.rs
@@ -7,6 +7,7 @@
 use http::response::Parts;
 use prometheus_client::encoding::EncodeLabelValue;
 use serde_json::Value;
+use tokio::time::Instant;
 
 use crate::config::ServingConfig;
 use crate::directory::BackendEntry;
@@ -218,6 +219,24 @@
     async fn chunk(&mut self) -> Option<Result<Bytes, String>>;
 }
 
+/// What a backend says of itself in a response, besides the response proper.
+#[derive(Debug, Clone)]
+pub struct Notice {
+    /// Id of the backend.
+    pub from: Rc<str>,
+    /// Time of the response.
+    pub received: Instant,
+    /// What it says.
+    pub content: NoticeContent,
+}
+
+/// Content of a [`Notice`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum NoticeContent {
+    /// The backend is leaving.
+    Leaving,
+}
+
 /// State that an engine reports.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EngineReport {
@@ -292,6 +311,9 @@
     /// backend that cannot be reached does not refuse.
     async fn refuses_connections(&self, to: &Target) -> bool;
 
+    /// Returns and forgets the notices in responses since the last call.
+    fn take_notices(&self) -> Vec<Notice>;
+
     /// Closes the idle connections to a backend.
     fn close_idle(&self, to: &Target);
 }
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -152,6 +152,7 @@
     /// Returns the backends that must not be chosen now: those that failed the request, and those
     /// at the limits that they name.
     pub fn excluded_backends(&self) -> Vec<BackendKey> {
+        self.host.apply_notices();
         let may_ask = self.grant_wait_ms.get() < GRANT_WAIT_MS;
         let mut excluded = self.failed_backends.borrow().clone();
         excluded.extend(named_limits::exhausted(&self.host, &self.service, may_ask));
--- a/crates/yucca-serve/tests/common/mod.rs
+++ b/crates/yucca-serve/tests/common/mod.rs
@@ -26,8 +26,8 @@
 use yucca_serve::host::{Deployment, Host};
 use yucca_serve::ports::{
     BackendResponse, Backends, Call, CallFault, EngineReport, Freshness, Kind, KvCacheHandle,
-    Object, ObjectStore, Objects, OrderReply, PhaseOrder, Prefilled, ResponseBody, StoreFault,
-    Target,
+    Notice, Object, ObjectStore, Objects, OrderReply, PhaseOrder, Prefilled, ResponseBody,
+    StoreFault, Target,
 };
 use yucca_serve::request::{Prompt, PromptPart, Request};
 use yuccacove::prompt_placement::Phase;
@@ -209,6 +209,8 @@
     pub order_reply: Cell<Option<OrderReply>>,
     /// Number of KV caches that were released.
     pub released: Cell<u32>,
+    /// Notices of backends that the host has not taken yet.
+    pub notices: RefCell<Vec<Notice>>,
     /// Backends to which this host has no path: its connections are reset and refused.
     pub cut_off: RefCell<HashSet<String>>,
 }
@@ -429,6 +431,10 @@
         self.is_cut_off(to) || fleet.is_some_and(|fleet| fleet.is_down(&to.id))
     }
 
+    fn take_notices(&self) -> Vec<Notice> {
+        std::mem::take(&mut self.notices.borrow_mut())
+    }
+
     fn close_idle(&self, _: &Target) {}
 }
 
--- a/crates/yucca-serve/tests/serve.rs
+++ b/crates/yucca-serve/tests/serve.rs
@@ -7,18 +7,21 @@
 
 use bytes::Bytes;
 use common::{
-    Chunk, FakeBackends, Step, generation, request, route, run_virtual, serving_host, wait_ms,
+    Chunk, FakeBackends, Step, entry, generation, request, route, run_virtual, serving_host,
+    wait_ms,
 };
 use http::StatusCode;
 use http_body::Body;
 use std::future::poll_fn;
 use std::pin::Pin;
+use tokio::time::Instant;
 use yucca_serve::config::RouteKind;
 use yucca_serve::host::Host;
-use yucca_serve::ports::CallFault;
+use yucca_serve::ports::{CallFault, Notice, NoticeContent};
 use yucca_serve::reply::{Reply, ReplyBody};
 use yucca_serve::request::Request;
 use yucca_serve::serve::serve;
+use yuccacove::prompt_placement::Phase;
 
 const IDEMPOTENT: RouteKind = RouteKind::Idempotent;
 const AT_MOST_ONCE: RouteKind = RouteKind::AtMostOnce;
@@ -532,3 +535,50 @@
         }
     });
 }
+
+/// Returns the ids of the backends to which a host sends some requests, one after the other.
+async fn backends_of_requests(host: &Rc<Host<FakeBackends>>) -> Vec<String> {
+    let before = host.backends.attempts().len();
+    for _ in 0..12 {
+        serve(host, request()).await;
+    }
+    let attempts = host.backends.attempts();
+    let mut ids: Vec<String> = attempts[before..].iter().map(|a| a.id.clone()).collect();
+    ids.sort_unstable();
+    ids.dedup();
+    ids
+}
+
+/// Guards against requests to a backend that says in its responses that it is leaving, while its
+/// entry in the store says that it is ready.
+#[test]
+fn serve_leaving_backend_gets_no_requests() {
+    run_virtual(async {
+        let host = serving_host(route(IDEMPOTENT, 2));
+        assert_eq!(backends_of_requests(&host).await, ["desk-1", "desk-2"]);
+        let announce = |id: &str| {
+            host.backends.notices.borrow_mut().push(Notice {
+                from: Rc::from(id),
+                received: Instant::now(),
+                content: NoticeContent::Leaving,
+            });
+        };
+        announce("desk-1");
+        assert_eq!(backends_of_requests(&host).await, ["desk-2"]);
+        // Its entry changes, without saying that it drains.
+        let list = |revision: u64, started_ms: u64| {
+            let mut listed = entry("desk", 1, Phase::Decode);
+            listed.started_ms = started_ms;
+            let now_ms = host.now_ms();
+            let mut directory = host.directory.borrow_mut();
+            directory.apply_entry("desk-1", revision, listed, now_ms);
+        };
+        list(5, 1);
+        assert_eq!(backends_of_requests(&host).await, ["desk-2"]);
+        announce("desk-2");
+        wait_ms(host.deployment.drain_ms).await;
+        assert_eq!(backends_of_requests(&host).await, [""; 0]);
+        list(6, 2);
+        assert_eq!(backends_of_requests(&host).await, ["desk-1"]);
+    });
+}
