Send nothing to a backend for the time that its refusal names

Cause: the header was read nowhere; after a refusal a backend was avoided for 150 ms, and not if there was no other.

Change: the pause is a notice of the backend, which excludes it from the choice until its end, restart of the backend or not more than ten minutes. If all backends of a service want a pause, callers are refused at once with the time until the first one ends.

serve_backend_with_retry_after_gets_no_requests failed without the exclusion (requests went to desk-1), and passes.

--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -91,6 +91,8 @@
     registration: Registration,
     /// Whether this incarnation has said that it is leaving, which its entry may not say.
     has_announced_leaving: bool,
+    /// Time until which the backend wants no requests from this host.
+    paused_until_ms: u64,
 }
 
 impl Backend {
@@ -116,6 +118,16 @@
         now_ms < self.unavailable_until_ms
     }
 
+    /// Records that the backend wants no requests from this host until `until_ms`.
+    pub fn pause_requests(&mut self, until_ms: u64) {
+        self.paused_until_ms = self.paused_until_ms.max(until_ms);
+    }
+
+    /// Returns for how long the backend wants no requests from this host; 0 if it takes them.
+    pub fn pause_left_ms(&self, now_ms: u64) -> u64 {
+        self.paused_until_ms.saturating_sub(now_ms)
+    }
+
     /// Records that a response of the backend says that it is leaving. Returns whether that is new.
     pub fn announce_leaving(&mut self, now_ms: u64) -> bool {
         let is_new = !std::mem::replace(&mut self.has_announced_leaving, true);
@@ -246,6 +258,13 @@
         serving
     }
 
+    /// Returns the usable backends of `service` that want no requests from this host now.
+    pub fn paused(&self, service: &str, now_ms: u64) -> Vec<BackendKey> {
+        let mut keys = self.usable(service, now_ms);
+        keys.retain(|key| self.get(*key).pause_left_ms(now_ms) > 0);
+        keys
+    }
+
     fn select(&self, service: &str, is_wanted: impl Fn(&Backend) -> bool) -> Vec<BackendKey> {
         let all = self.by_id.values().copied();
         all.filter(|key| self.get(*key).entry.service == service)
@@ -312,6 +331,7 @@
         }
         if is_restart {
             backend.has_announced_leaving = false;
+            backend.paused_until_ms = 0;
             backend.health = PassiveHealth::default();
             backend.load.reset();
         }
@@ -399,6 +419,7 @@
             unavailable_until_ms: 0,
             revision,
             has_announced_leaving: false,
+            paused_until_ms: 0,
             registration: if is_draining {
                 Registration::Leaving { since_ms: 0 }
             } else {
--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -27,6 +27,9 @@
 /// time windows independently of each other.
 const RETRY_BUDGET_SHARE: f64 = 0.8;
 
+/// Longest time for which a backend may turn a host away with one response.
+const MAX_PAUSE_MS: u64 = 600_000;
+
 /// Deployment settings of a host.
 #[derive(Debug, Clone)]
 pub struct Deployment {
@@ -246,6 +249,11 @@
                         log::write(Event::BackendLeft, &fields);
                     }
                 }
+                NoticeContent::RetryAfter { wait_ms } => {
+                    backend.pause_requests(at_ms + wait_ms.min(MAX_PAUSE_MS));
+                    let fields = format!("back_end={} pause_ms={wait_ms}", notice.from);
+                    log::write(Event::BackendLimited, &fields);
+                }
             }
         }
     }
--- a/crates/yucca-serve/src/ports.rs
+++ b/crates/yucca-serve/src/ports.rs
@@ -235,6 +235,11 @@
 pub enum NoticeContent {
     /// The backend is leaving.
     Leaving,
+    /// The backend wants no requests from this host for some time.
+    RetryAfter {
+        /// That time, from the response on, in milliseconds.
+        wait_ms: u64,
+    },
 }
 
 /// State that an engine reports.
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -156,6 +156,9 @@
         let may_ask = self.grant_wait_ms.get() < GRANT_WAIT_MS;
         let mut excluded = self.failed_backends.borrow().clone();
         excluded.extend(named_limits::exhausted(&self.host, &self.service, may_ask));
+        let now_ms = self.host.now_ms();
+        let directory = self.host.directory.borrow();
+        excluded.extend(directory.paused(&self.service, now_ms));
         excluded
     }
 
@@ -184,6 +187,9 @@
 
     /// Refuses a request for which no backend can be chosen.
     pub fn refuse_unplaced(&self) -> Reply {
+        if let Some(left_ms) = self.shortest_pause_ms() {
+            return self.refuse_with_retry_after(Code::NoBackend, left_ms.max(RETRY_AFTER_MS));
+        }
         if named_limits::exhausted(&self.host, &self.service, false).is_empty() {
             return self.refuse(Code::NoBackend);
         }
@@ -191,6 +197,18 @@
         self.refuse_with_retry_after(Code::NoBackend, retry_after_ms)
     }
 
+    /// Returns the time until the first backend takes requests again; `None` if not all usable
+    /// backends of the service have turned this host away for some time.
+    fn shortest_pause_ms(&self) -> Option<u64> {
+        let now_ms = self.host.now_ms();
+        let directory = self.host.directory.borrow();
+        let keys = directory.usable(&self.service, now_ms);
+        let pauses = keys
+            .iter()
+            .map(|key| directory.get(*key).pause_left_ms(now_ms));
+        pauses.min().filter(|left_ms| *left_ms > 0)
+    }
+
     /// Returns the parameters of a call with the remaining time and without a KV cache.
     pub fn call(&self) -> Call {
         Call {
--- a/crates/yucca-serve/tests/serve.rs
+++ b/crates/yucca-serve/tests/serve.rs
@@ -582,3 +582,36 @@
         assert_eq!(backends_of_requests(&host).await, ["desk-1"]);
     });
 }
+
+/// Guards against requests to a backend that wants none for a time, also if there is no other, and
+/// against callers that are told to come back before that time.
+#[test]
+fn serve_backend_with_retry_after_gets_no_requests() {
+    run_virtual(async {
+        let host = serving_host(route(IDEMPOTENT, 2));
+        let pause = |id: &str, wait_ms: u64| {
+            host.backends.notices.borrow_mut().push(Notice {
+                from: Rc::from(id),
+                received: Instant::now(),
+                content: NoticeContent::RetryAfter { wait_ms },
+            });
+        };
+        pause("desk-1", 2_000);
+        assert_eq!(backends_of_requests(&host).await, ["desk-2"]);
+        pause("desk-2", 5_000);
+        assert_eq!(backends_of_requests(&host).await, [""; 0]);
+        let reply = serve(&host, request()).await;
+        assert_eq!(reply.head.status, StatusCode::SERVICE_UNAVAILABLE);
+        let retry_after_ms = reply.retry_after_ms.expect("a time");
+        assert!(
+            (1_900..=2_000).contains(&retry_after_ms),
+            "{retry_after_ms}"
+        );
+        wait_ms(1_500).await;
+        assert_eq!(backends_of_requests(&host).await, [""; 0]);
+        wait_ms(500).await;
+        assert_eq!(backends_of_requests(&host).await, ["desk-1"]);
+        wait_ms(3_000).await;
+        assert_eq!(backends_of_requests(&host).await, ["desk-1", "desk-2"]);
+    });
+}
