Announce only the causes of crashes, not requests beside them

An operator would look for the wrong cause.

A part is now announced only if no other part is blamed for the same crashes and more. take_identified_covered_by_another failed (two parts were named) and passes.

--- a/src/crash_cause.rs
+++ b/src/crash_cause.rs
@@ -270,19 +270,26 @@
         })
     }
 
+    /// Whether enough crashes blame a part, and no other part is blamed for these and more.
+    fn is_cause(&self, part: &Part, now_ms: u64) -> bool {
+        let is_outdone = |other: &Part| other.covers(part) && !part.covers(other);
+        part.is_identified() && !part.is_expired(now_ms) && !self.parts.values().any(is_outdone)
+    }
+
     /// Returns the number of parts that enough crashes blame to refuse them.
     pub fn identified_count(&self, now_ms: u64) -> usize {
         let parts = self.parts.values();
-        parts
-            .filter(|part| part.is_identified() && !part.is_expired(now_ms))
-            .count()
+        parts.filter(|part| self.is_cause(part, now_ms)).count()
     }
 
     /// Returns the parts that were identified since the last call, with the number of crashes.
     pub fn take_identified(&mut self, now_ms: u64) -> Vec<(PartKey, usize)> {
+        let parts = self.parts.iter();
+        let causes = parts.filter(|(_, part)| self.is_cause(part, now_ms));
+        let causes: IndexSet<PartKey> = causes.map(|(key, _)| *key).collect();
         let mut new = Vec::new();
         for (key, part) in &mut self.parts {
-            let is_identified = part.is_identified() && !part.is_expired(now_ms);
+            let is_identified = causes.contains(key);
             if is_identified && !part.is_announced {
                 new.push((*key, part.crash_count()));
             }
--- a/tests/crash_cause.rs
+++ b/tests/crash_cause.rs
@@ -85,6 +85,20 @@
     assert_eq!(many.iter().filter(|delay_ms| **delay_ms == 0).count(), 35);
 }
 
+/// Guards against announcing a sound request as a cause because it was under way in two of the
+/// crashes of another one.
+#[test]
+fn take_identified_covered_by_another() {
+    let sound = part(20);
+    let mut causes = CrashCauses::default();
+    causes.record_crash(CrashId(1), &[DEADLY], 0, 1_000);
+    causes.record_crash(CrashId(2), &[DEADLY, sound], 0, 1_050);
+    causes.record_crash(CrashId(3), &[DEADLY, sound], 0, 1_200);
+    assert_eq!(causes.take_identified(1_200), [(DEADLY, 2)]);
+    assert_eq!(causes.identified_count(1_200), 1);
+    assert!(!causes.is_refused(&[sound], 1_200));
+}
+
 /// Guards against counting one crash twice that several hosts report.
 #[test]
 fn is_refused_crash_reported_twice() {
