Keep the configuration while the operator writes lost ones again

Callers would see, as a test shows: after a restore an older configuration comes into force for a moment, if the operator writes again, one after the other, all that the store has lost (CONFIG).

Cause: any configuration after the copy's counted as newer than the active one, since it may carry any version. One that the host had before is not.

Change: a host remembers the contents of the configurations that were active; of these, only one with a higher version replaces the active one.

follow_restored_store_configurations_written_again failed with version 11 in place of 12, and passes.

--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -11,7 +11,6 @@
 use yuccacove::event::Event;
 
 use crate::directory::Change;
-use crate::hash::hash_of;
 use crate::host::Host;
 use crate::ports::{Freshness, Kind, Object, ObjectStore, Objects, StoreFault};
 use crate::relay::Relay;
@@ -162,7 +161,7 @@
         let latest = objects.objects.iter().filter(|object| !object.is_removed);
         for object in latest {
             match store.config(object) {
-                Some(config) => host.update_config(config, object.revision),
+                Some(config) => host.update_config(config, object),
                 None => log::write(Event::CatalogueInvalid, &format!("name={}", object.name)),
             }
         }
@@ -275,14 +274,24 @@
 struct Known {
     /// Revision up to which the host has all changes.
     revision: u64,
-    /// Number of the revision and hash of the content of each object, by name. The same object of a
-    /// restored store is known already.
-    objects: IndexMap<String, (u64, u64)>,
+    /// State of each object, by name. The same object of a restored store is known already.
+    objects: IndexMap<String, ObjectState>,
 }
 
-fn identity(object: &Object) -> (u64, u64) {
-    let text = object.value.as_ref().map(ToString::to_string);
-    (number_of(object.revision), hash_of(text))
+/// State of an object that is the same before and after a restore of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct ObjectState {
+    revision_number: u64,
+    content_hash: u64,
+}
+
+impl ObjectState {
+    fn of(object: &Object) -> Self {
+        Self {
+            revision_number: number_of(object.revision),
+            content_hash: object.content_hash(),
+        }
+    }
 }
 
 impl Known {
@@ -291,7 +300,7 @@
         Self {
             revision: listing.revision,
             objects: present
-                .map(|object| (object.name.clone(), identity(object)))
+                .map(|object| (object.name.clone(), ObjectState::of(object)))
                 .collect(),
         }
     }
@@ -301,8 +310,8 @@
             if object.is_removed {
                 self.objects.swap_remove(&object.name);
             } else {
-                let identity = identity(object);
-                self.objects.insert(object.name.clone(), identity);
+                let state = ObjectState::of(object);
+                self.objects.insert(object.name.clone(), state);
             }
         }
         self.revision = self.revision.max(changes.revision);
@@ -311,7 +320,7 @@
     /// Returns the changes that lead from the known objects to `listing`.
     fn changes_to(&self, listing: &Objects) -> Objects {
         let listed = listing.objects.iter();
-        let is_known = |object: &Object| self.objects.get(&object.name) == Some(&identity(object));
+        let is_known = |o: &Object| self.objects.get(&o.name) == Some(&ObjectState::of(o));
         let changed = listed.filter(|o| o.revision > self.revision && !is_known(o));
         let is_listed = |name: &&String| listing.objects.iter().any(|o| o.name == **name);
         let removed = self.objects.keys().filter(|name| !is_listed(name));
--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -20,7 +20,7 @@
 use crate::loads::Reservation;
 use crate::metrics::Metrics;
 use crate::peers::{Peers, PrefillAnnouncement};
-use crate::ports::{Backends, NoticeContent, Target};
+use crate::ports::{Backends, NoticeContent, Object, Target};
 use crate::relay::Relay;
 
 /// Fraction of the allowed retries that hosts use. The rest is a margin, because hosts count their
@@ -152,15 +152,15 @@
         *self.config.borrow_mut() = Some(Rc::new(config));
     }
 
-    /// Activates a configuration from the store if it is newer than the active one. `revision` is
-    /// that of its object.
-    pub fn update_config(&self, config: ServingConfig, revision: u64) {
+    /// Activates the configuration in an object of the store if it is newer than the active one.
+    pub fn update_config(&self, config: ServingConfig, object: &Object) {
         let active = self.config.borrow().as_ref().map(|c| c.version);
         let mut order = self.config_order.borrow_mut();
-        if order.is_newer(config.version, revision, active) {
+        let content = object.content_hash();
+        if order.is_newer(config.version, object.revision, content, active) {
             self.activate(config);
         } else if active != Some(config.version) {
-            let fields = format!("version={} revision={revision}", config.version);
+            let fields = format!("version={} revision={}", config.version, object.revision);
             log::write(Event::CatalogueStale, &fields);
         }
     }
--- a/crates/yucca-serve/src/ports.rs
+++ b/crates/yucca-serve/src/ports.rs
@@ -11,6 +11,7 @@
 
 use crate::config::ServingConfig;
 use crate::directory::BackendEntry;
+use crate::hash::hash_of;
 use crate::request::Request;
 
 /// Kinds of store objects that a host uses.
@@ -50,6 +51,13 @@
     pub is_removed: bool,
 }
 
+impl Object {
+    /// Returns a hash of the content.
+    pub fn content_hash(&self) -> u64 {
+        hash_of(self.value.as_ref().map(ToString::to_string))
+    }
+}
+
 /// The objects of a kind, or a set of changes to them.
 #[derive(Debug, Clone, Default)]
 pub struct Objects {
--- a/crates/yucca-serve/tests/restored_store.rs
+++ b/crates/yucca-serve/tests/restored_store.rs
@@ -324,6 +324,35 @@
     }
 }
 
+/// Guards against an older configuration that comes into force for a moment because the operator
+/// writes again, one after the other, what the store has lost.
+#[test]
+fn follow_restored_store_configurations_written_again() {
+    run_virtual(async {
+        let fleet = Fleet::spawn(7, 0.0).await;
+        fleet.store.save_copy();
+        for version in [11, 12] {
+            fleet.put_config(version);
+            wait_ms(BOUND_MS).await;
+        }
+        fleet.restore().await;
+        fleet.assert_for(1_500, "copy", 12, &[], &[]).await;
+        for version in [11, 12] {
+            fleet.put_config(version);
+            fleet.assert_for(1_500, "written again", 12, &[], &[]).await;
+        }
+        fleet.put_config(9);
+        wait_ms(BOUND_MS).await;
+        assert!(
+            fleet
+                .members
+                .borrow()
+                .iter()
+                .all(|member| member.version() == 9)
+        );
+    });
+}
+
 /// Guards against hosts that follow one restore and not the next.
 #[test]
 fn follow_restored_store_twice() {
