Take the lapse of entries after a restore from the heartbeat

A backend that had left and is in the copy was used after a constant of 5 s, which holds for heartbeats of up to 1.6 s. The platform's settings name the interval: the time is now three heartbeats and the time in which a change reaches all hosts, 5.6 s at the present settings.

--- a/crates/yucca-emulator/src/simulation.rs
+++ b/crates/yucca-emulator/src/simulation.rs
@@ -177,6 +177,7 @@
         config_ms: CHANGE_BOUND_MS,
         grace_ms: 8_000,
         lease_ms: 3_000,
+        heartbeat_ms: 1_200,
     };
     let name = deployment.name.clone();
     let host = Rc::new(Host::new(deployment, pool.clone(), hash_of((seed, number))));
--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -18,9 +18,6 @@
 
 /// Time after the store recovers within which a live backend has registered again.
 pub const RELIST_MS: u64 = 1_800;
-/// Time after which the store removes the entry of a backend that is silent, at most. A backend
-/// that had left before a restore of the store, and is in the copy, is used only after that.
-const LAPSE_MS: u64 = 5_000;
 /// Shortest outage of the store in which entries may have expired.
 const MIN_EXPIRY_OUTAGE_MS: u64 = 1_000;
 /// Time for which a backend that refused a request is avoided while there are others.
@@ -193,6 +190,8 @@
     has_full_listing: bool,
     /// Era of the store's latest changes.
     era: u64,
+    /// Time in which the entries of silent backends are removed.
+    entry_lapse_ms: u64,
 }
 
 impl Directory {
@@ -289,8 +288,10 @@
     }
 
     /// Handles changes of the store's era `era`. After a restore of the store, live backends that the
-    /// copy lacks register again.
-    pub fn begin_era(&mut self, era: u64, now_ms: u64) {
+    /// copy lacks register again, and the entries of those that have left since it was made are
+    /// removed within `entry_lapse_ms`.
+    pub fn begin_era(&mut self, era: u64, entry_lapse_ms: u64, now_ms: u64) {
+        self.entry_lapse_ms = entry_lapse_ms;
         let is_restore = era > self.era && !self.backends.is_empty();
         self.era = self.era.max(era);
         if is_restore {
@@ -318,6 +319,7 @@
             // The copy holds an earlier incarnation.
             return self.apply_removal(id, revision, now_ms);
         }
+        let copied_until_ms = now_ms + self.entry_lapse_ms;
         let backend = self.get_mut(key);
         let was_serving = backend.is_serving(now_ms);
         let is_restart = entry.started_ms != backend.entry.started_ms;
@@ -345,7 +347,7 @@
         }
         backend.registration = match backend.registration {
             Registration::Leaving { .. } if is_copied && !is_restart => Registration::Copied {
-                until_ms: now_ms + LAPSE_MS,
+                until_ms: copied_until_ms,
             },
             // An entry that changes after the restore is the backend's own.
             _ => Registration::Serving,
--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -212,9 +212,11 @@
     is_full_listing: bool,
 ) {
     let now_ms = host.now_ms();
-    host.directory
-        .borrow_mut()
-        .begin_era(era_of(objects.revision), now_ms);
+    host.directory.borrow_mut().begin_era(
+        era_of(objects.revision),
+        host.deployment.entry_lapse_ms(),
+        now_ms,
+    );
     let mut changes = Vec::new();
     for object in &objects.objects {
         changes.push(apply_backend(host, store, object, now_ms));
--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -49,6 +49,8 @@
     pub grace_ms: u64,
     /// Minimum time for which a lease excludes other holders.
     pub lease_ms: u64,
+    /// Interval at which a backend writes its entry.
+    pub heartbeat_ms: u64,
 }
 
 impl Deployment {
@@ -57,6 +59,13 @@
     pub fn change_bound_ms(&self) -> u64 {
         self.drain_ms.min(self.config_ms)
     }
+
+    /// Returns the time within which all hosts know that the entry of a silent backend was removed.
+    pub fn entry_lapse_ms(&self) -> u64 {
+        /// Heartbeat intervals after which the store removes the entry of a silent backend.
+        const LAPSE_HEARTBEATS: u64 = 3;
+        LAPSE_HEARTBEATS * self.heartbeat_ms + self.change_bound_ms()
+    }
 }
 
 /// State shared by all requests of a host.
--- a/crates/yucca-serve/tests/common/mod.rs
+++ b/crates/yucca-serve/tests/common/mod.rs
@@ -455,6 +455,7 @@
         config_ms: 2_000,
         grace_ms: 8_000,
         lease_ms: 3_000,
+        heartbeat_ms: 1_200,
     }
 }
 
