Show hosts that exceed their memory when many users come at once

A host keeps the whole body of each request in flight and limits neither their number nor their bytes.

--- a/review/standins/hosts.rs
+++ b/review/standins/hosts.rs
@@ -67,6 +67,22 @@
         record.line(format!("host {} pid {pid}", self.name));
     }
 
+    /// Memory of the process that is in use, in bytes; 0 if it does not run.
+    pub fn memory_bytes(&self) -> u64 {
+        let pid = self.child.as_ref().map_or(0, Child::id);
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.trim().trim_end_matches(" kB").parse().ok());
+        kilobytes.unwrap_or(0) * 1_024
+    }
+
+    /// Ends the process with SIGKILL and starts it again, as the platform does.
+    pub fn kill_and_restart(&mut self, record: &Record) {
+        self.kill();
+        thread::sleep(Duration::from_millis(500));
+        self.start(record);
+    }
+
     /// Ends the process with SIGKILL.
     fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -210,6 +210,40 @@
     answer
 }
 
+/// A connection that a client keeps open for several requests.
+pub struct Kept {
+    reader: BufReader<TcpStream>,
+}
+
+impl Kept {
+    pub fn open(to: SocketAddr, timeout: Duration) -> io::Result<Self> {
+        let stream = TcpStream::connect_timeout(&to, Duration::from_secs(1))?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(timeout))?;
+        Ok(Self { reader: BufReader::new(stream) })
+    }
+
+    /// Sends a request with a body and reads the response; `status` is 0 if the connection ends
+    /// without one.
+    pub fn post(&mut self, target: &str, headers: &str, body: &[u8]) -> Answer {
+        let mut answer = Answer::default();
+        let head = format!("POST {target} HTTP/1.1\r\n{headers}Content-Length: {}\r\n\r\n", body.len());
+        let _ = self.exchange(&[head.as_bytes(), body].concat(), &mut answer);
+        answer
+    }
+
+    fn exchange(&mut self, request: &[u8], answer: &mut Answer) -> io::Result<()> {
+        self.reader.get_mut().write_all(request)?;
+        let line = read_line(&mut self.reader)?;
+        let status = line.split(' ').nth(1).and_then(|status| status.parse().ok());
+        answer.status = status.ok_or_else(|| invalid("status"))?;
+        answer.headers = read_headers(&mut self.reader)?;
+        answer.body = read_body(&mut self.reader, &answer.headers, false)?;
+        answer.is_whole = true;
+        Ok(())
+    }
+}
+
 fn exchange(
     to: SocketAddr,
     method: &str,
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -9,6 +9,7 @@
 mod hosts;
 mod http;
 mod json;
+mod memory;
 mod record;
 mod spoiled;
 mod store;
@@ -34,6 +35,7 @@
     let held = match case.as_str() {
         "spoiled" => spoiled::run(is_trouble, &record, &folder),
         "denied" => denied::run(is_trouble, &record, &folder),
+        "memory" => memory::run(is_trouble, &record, &folder),
         "deadly" => deadly::run(is_trouble, &record, &folder),
         other => {
             eprintln!("no case {other}");
