--- a/review/standins/backends.rs
+++ b/review/standins/backends.rs
@@ -41,8 +41,6 @@
     /// Time for which a plain server works on a request.
     pub work: Duration,
     pub arrivals: Mutex<Vec<Arrival>>,
-    /// Targets that plain servers work on, each with the id of the server.
-    pub at_work: Mutex<Vec<(String, String)>>,
     /// Time of each crash.
     pub crashes: Mutex<Vec<f64>>,
 }
@@ -153,14 +151,6 @@
         place
     }
 
-    /// Whether the backend works on a request with this target.
-    pub fn works_on(&self, target: &str) -> bool {
-        let running = self.running.lock().unwrap();
-        let Some((process, _)) = &*running else { return false };
-        let at_work = self.fleet.at_work.lock().unwrap();
-        at_work.iter().any(|(id, known)| *id == process.id && known == target)
-    }
-
     fn start(self: &Arc<Self>, listener: TcpListener) {
         let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let process = Arc::new(Process {
@@ -276,10 +266,7 @@
         echo: &str,
     ) -> bool {
         self.fleet.arrived(&process.id, request, false);
-        let work = (process.id.clone(), request.target.clone());
-        self.fleet.at_work.lock().unwrap().push(work.clone());
         thread::sleep(self.fleet.work);
-        self.fleet.at_work.lock().unwrap().retain(|known| *known != work);
         if let Some(bytes) = (self.fleet.spoil)(&self.zone) {
             self.fleet.record.line(format!("backend {} sends bytes that are no answer", process.id));
             return writer.write_all(bytes.as_bytes()).is_ok();
--- a/review/standins/deadly.rs
+++ b/review/standins/deadly.rs
@@ -60,7 +60,6 @@
         spoil: Box::new(|_| None),
         work: Duration::ZERO,
         arrivals: Mutex::default(),
-        at_work: Mutex::default(),
         crashes: Mutex::default(),
     });
     let zones = ["a", "b", "c"];
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -5,12 +5,12 @@
 
 mod backends;
 mod deadly;
-mod denied;
 mod hosts;
 mod http;
 mod json;
 mod memory;
 mod record;
+mod reverted;
 mod spoiled;
 mod store;
 
@@ -34,7 +34,7 @@
     }
     let held = match case.as_str() {
         "spoiled" => spoiled::run(is_trouble, &record, &folder),
-        "denied" => denied::run(is_trouble, &record, &folder),
+        "reverted" => reverted::run(is_trouble, &record, &folder),
         "memory" => memory::run(is_trouble, &record, &folder),
         "deadly" => deadly::run(is_trouble, &record, &folder),
         other => {
--- a/review/standins/memory.rs
+++ b/review/standins/memory.rs
@@ -87,7 +87,6 @@
         // A short request is answered as a long one is; both are counted in flight.
         work: WORK,
         arrivals: Mutex::default(),
-        at_work: Mutex::default(),
         crashes: Mutex::default(),
     });
     let zones = ["a", "b"];
--- a/review/standins/spoiled.rs
+++ b/review/standins/spoiled.rs
@@ -75,7 +75,6 @@
         }),
         work: Duration::from_millis(60),
         arrivals: Mutex::default(),
-        at_work: Mutex::default(),
         crashes: Mutex::default(),
     });
     let _servers: Vec<Arc<Place>> = ["a", "b"].iter().map(|zone| Place::spawn(&fleet, "desk", zone, None)).collect();
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -9,21 +9,25 @@
 use crate::http::{self, Request, Server, response};
 use crate::json;
 
-const JSON: &str = "Content-Type: application/json\r\nStore-Era: 1\r\n";
-
 #[derive(Clone)]
 struct Stored {
     revision: u64,
     spec: Option<String>,
 }
 
-#[derive(Default)]
+#[derive(Default, Clone)]
 struct State {
+    era: u64,
+    /// Whether the store accepts connections and answers nothing.
+    is_away: bool,
     revision: u64,
     /// Latest state of each object by kind and name; without a spec if it was removed.
     objects: BTreeMap<(String, String), Stored>,
 }
 
+/// A copy of the store.
+pub struct Copy(State);
+
 #[derive(Default)]
 pub struct Store {
     state: Mutex<State>,
@@ -42,14 +46,16 @@
     /// Starts the store on a free loopback port.
     pub fn spawn() -> (Arc<Self>, SocketAddr, Server) {
         let store = Arc::new(Self::default());
-        store.state.lock().unwrap().revision = 40;
+        *store.state.lock().unwrap() = State { era: 1, revision: 40, ..State::default() };
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let own = Arc::clone(&store);
         let server = Server::spawn(listener, move |stream| {
             http::serve(stream, |request, writer| {
                 let (status, body) = own.handle(request);
-                writer.write_all(response(status, JSON, &body).as_bytes()).is_ok()
+                let (era, is_away) = own.era_and_away();
+                let headers = format!("Content-Type: application/json\r\nStore-Era: {era}\r\n");
+                !is_away && writer.write_all(response(status, &headers, &body).as_bytes()).is_ok()
             });
         });
         (store, address, server)
@@ -73,6 +79,30 @@
         revision
     }
 
+    fn era_and_away(&self) -> (u64, bool) {
+        let state = self.state.lock().unwrap();
+        (state.era, state.is_away)
+    }
+
+    /// Makes the store close connections without an answer.
+    pub fn go_away(&self) {
+        self.state.lock().unwrap().is_away = true;
+        self.changed.notify_all();
+    }
+
+    /// Returns a copy of the store from which it can be restored.
+    pub fn copy(&self) -> Copy {
+        Copy(self.state.lock().unwrap().clone())
+    }
+
+    /// Brings the store back from a copy, in the next era.
+    pub fn restore(&self, copy: &Copy) {
+        let mut state = self.state.lock().unwrap();
+        let era = state.era + 1;
+        *state = State { era, is_away: false, ..copy.0.clone() };
+        self.changed.notify_all();
+    }
+
     fn handle(&self, request: &Request) -> (u16, String) {
         let mut parts = request.path().trim_start_matches("/objects/").splitn(2, '/');
         let kind = parts.next().unwrap_or_default().to_owned();
@@ -123,7 +153,7 @@
                 .collect();
             changes.sort_by_key(|(_, stored)| stored.revision);
             let left = until.saturating_duration_since(Instant::now());
-            if !changes.is_empty() || left.is_zero() {
+            if !changes.is_empty() || left.is_zero() || state.is_away {
                 let events: Vec<String> = changes
                     .iter()
                     .map(|((_, name), stored)| {
