Take only signed responses with the request's id for answers

Cause: the id was compared only if the response had one, and the signature was looked at nowhere. Notices, "not run" and 421 were believed from such a response as well, and a late second response could be taken for the reply to an order, a report or a release.

Ruled out: the parser lets bytes pass that are no HTTP (they are logged as invalid); late responses on connections in use again (the page comes in place of the answer).

What fails the check is CallFault::Invalid (event E305, metric invalid_responses): the request may have run, the connection is closed, and no notice is taken.

--- a/crates/yucca-serve/src/metrics.rs
+++ b/crates/yucca-serve/src/metrics.rs
@@ -40,6 +40,8 @@
     pub retries: Counter,
     /// Requests of this host under which a backend crashed.
     pub engine_crashes: Counter,
+    /// Responses that are no answer to the request that was sent.
+    pub invalid_responses: Counter,
     /// Requests and parts of prompts that are refused because they crashed backends.
     pub refused_parts: Gauge,
     /// Calls to the object store.
@@ -58,6 +60,7 @@
             requests: Counter::default(),
             retries: Counter::default(),
             engine_crashes: Counter::default(),
+            invalid_responses: Counter::default(),
             refused_parts: Gauge::default(),
             store_calls: Rc::default(),
             refused: Family::default(),
@@ -111,6 +114,11 @@
             "Requests under which a back end crashed",
             self.engine_crashes.clone(),
         );
+        registry.register(
+            "invalid_responses",
+            "Responses of back ends that are no answer to the request",
+            self.invalid_responses.clone(),
+        );
         registry.register(
             "refused_parts",
             "Requests and parts of prompts that are refused because they crashed back ends",
--- a/crates/yucca-serve/src/ports.rs
+++ b/crates/yucca-serve/src/ports.rs
@@ -8,6 +8,7 @@
 use prometheus_client::encoding::EncodeLabelValue;
 use serde_json::Value;
 use tokio::time::Instant;
+use yuccacove::response_check::ResponseFault;
 
 use crate::config::ServingConfig;
 use crate::directory::BackendEntry;
@@ -200,8 +201,8 @@
     },
     /// The request was sent; whether it ran is unknown.
     Broken(String),
-    /// The response belongs to another request.
-    Crossed,
+    /// What arrived is no answer to the request; whether that ran is unknown.
+    Invalid(ResponseFault),
 }
 
 /// A response of a backend.
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -288,7 +288,7 @@
                     health.record_unreachable(now_ms);
                 }
                 CallFault::NotRun { .. } => backend.record_refusal(now_ms),
-                CallFault::Broken(_) | CallFault::Crossed => health.record_broken_connection(),
+                CallFault::Broken(_) | CallFault::Invalid(_) => health.record_broken_connection(),
             }
         }
         let is_unsent = matches!(fault, CallFault::NotSent(_));
@@ -297,7 +297,7 @@
             (Stage::Read, _) | (Stage::Run, CallFault::NotSent(_) | CallFault::NotRun { .. }) => {
                 may_have_run_before
             }
-            (Stage::Run, CallFault::Broken(_) | CallFault::Crossed) => true,
+            (Stage::Run, CallFault::Broken(_) | CallFault::Invalid(_)) => true,
         };
         self.may_have_run.set(may_have_run);
         if is_unsent {
@@ -314,7 +314,12 @@
             self.content_id(),
             self.elapsed_ms(),
         );
-        log::write(Event::BackendFailed, &fields);
+        if matches!(fault, CallFault::Invalid(_)) {
+            host.metrics.invalid_responses.inc();
+            log::write(Event::CrossedAnswer, &fields);
+        } else {
+            log::write(Event::BackendFailed, &fields);
+        }
         let may_repeat = !may_have_run || self.route.kind.is_repeatable();
         may_repeat && self.connection_failures.get() <= MAX_CONNECTION_FAILURES
     }
--- a/crates/yucca-serve/tests/serve.rs
+++ b/crates/yucca-serve/tests/serve.rs
@@ -22,6 +22,7 @@
 use yucca_serve::request::Request;
 use yucca_serve::serve::serve;
 use yuccacove::prompt_placement::Phase;
+use yuccacove::response_check::ResponseFault;
 
 const IDEMPOTENT: RouteKind = RouteKind::Idempotent;
 const AT_MOST_ONCE: RouteKind = RouteKind::AtMostOnce;
@@ -109,7 +110,7 @@
             name: "at most once, response to another request: no retry",
             kind: AT_MOST_ONCE,
             max_attempts: 2,
-            steps: vec![Step::Fault(CallFault::Crossed)],
+            steps: vec![Step::Fault(CallFault::Invalid(ResponseFault::OtherId))],
             status: 504,
             calls: 1,
         },
@@ -491,7 +492,10 @@
 /// fault.
 #[test]
 fn serve_stream_at_most_once() {
-    for step in [broken(), Step::Fault(CallFault::Crossed)] {
+    for step in [
+        broken(),
+        Step::Fault(CallFault::Invalid(ResponseFault::OtherId)),
+    ] {
         run_virtual(async {
             let host = serving_host(route(STREAM, 2));
             script_all(&host, std::slice::from_ref(&step));
--- a/src/event.rs
+++ b/src/event.rs
@@ -51,7 +51,7 @@
     BackendEjected = 302, "backend_ejected", "A backend receives no work after repeated failures.";
     BackendReturned = 303, "backend_returned", "An ejected backend receives work again.";
     ConnectionRetired = 304, "connection_retired", "A connection without progress was closed.";
-    CrossedAnswer = 305, "crossed_answer", "A response with another request's id was discarded.";
+    CrossedAnswer = 305, "crossed_answer", "A response that is no answer to the request was discarded.";
     SuspectConvicted = 306, "suspect_convicted", "A request's content is refused because backends crashed while running it.";
     BackendJoined = 307, "backend_joined", "A backend is listed as serving.";
     BackendLeft = 308, "backend_left", "A backend is listed as draining, or no longer listed.";
