Count crashes under generations at each point of a call

Cause: a stream's failure before the head of the response was recorded as the engine's alone, and a failed prefill too; only plain servers, and streams after the head, recorded the crash.

Ruled out: the probe comes at the wrong time, and blame does not spread (a head 20 ms before the crash is recognised).

Change: crashes::record_fault decides for all paths and stages. Crashes are weighed by how closely they point to a part, as most requests that wait for a head are sound; a moment at which many engines are lost gives no weight to a part that few of them share. A timeout is a fault of its own, as silence is no crash.

--- a/crates/yucca-serve/src/crashes.rs
+++ b/crates/yucca-serve/src/crashes.rs
@@ -7,15 +7,15 @@
 
 use tokio::task::spawn_local;
 use yucca_io::log;
-use yuccacove::crash_cause::{CrashId, PartKey, trial_delay_ms};
+use yuccacove::crash_cause::{CrashId, Evidence, PartKey, trial_delay_ms};
 use yuccacove::event::Event;
 
 use crate::directory::BackendKey;
 use crate::hash::hash_of;
 use crate::host::Host;
-use crate::ports::Backends;
+use crate::ports::{Backends, CallFault};
 use crate::request::Request;
-use crate::serve::RequestContext;
+use crate::serve::{Progress, RequestContext, Stage};
 
 /// Interval at which a request that waits for its trial checks for the verdict.
 pub const TRIAL_POLL_MS: u64 = 10;
@@ -101,11 +101,50 @@
     })
 }
 
-/// Handles the loss of the connection on which the backend `key` ran a request: an engine had begun
-/// its response, without an event so far, or a plain server had not completed it. If the backend
-/// has crashed, that blames the request. Returns whether the request may be sent to another
-/// backend.
-pub async fn record_break<B: Backends>(context: &RequestContext<B>, key: BackendKey) -> bool {
+/// How closely a crash points to a request as a whole, and to the parts of its prompt.
+#[derive(Debug, Clone, Copy)]
+struct Blame {
+    request: Evidence,
+    /// `None` if the parts are not blamed.
+    parts: Option<Evidence>,
+}
+
+impl Blame {
+    /// Returns the blame for a crash that broke a call with this progress.
+    fn of(request: &Request, stage: Stage, progress: Progress) -> Self {
+        match (stage, progress) {
+            // A part of a prompt crashes engines that write a response, which a prefill does not.
+            (Stage::Read, _) => Self {
+                request: Evidence::SameRequest,
+                parts: None,
+            },
+            (Stage::Run, Progress::NoHead) if request.prompt.is_some() => Self {
+                request: Evidence::SameRequest,
+                parts: Some(Evidence::Waiting),
+            },
+            (Stage::Run, _) => Self {
+                request: Evidence::Begun,
+                parts: Some(Evidence::Begun),
+            },
+        }
+    }
+}
+
+/// Handles the failure of a call of a request to the backend `key`, at any point of the call. If its
+/// connection broke because the backend has crashed, that blames the request. Returns whether the
+/// request may be sent to another backend.
+pub async fn record_fault<B: Backends>(
+    context: &RequestContext<B>,
+    key: BackendKey,
+    stage: Stage,
+    progress: Progress,
+    fault: &CallFault,
+) -> bool {
+    // An event proves the request sound, and only a broken connection may be due to a crash.
+    if progress == Progress::Events || !matches!(fault, CallFault::Broken(_)) {
+        return true;
+    }
+    let blame = Blame::of(&context.request, stage, progress);
     let host = Rc::clone(&context.host);
     let request_id = context.request.id.clone();
     let keys = context.crash_keys.clone();
@@ -113,14 +152,20 @@
     let recording = spawn_local(async move {
         let target = host.target(key);
         let is_crash = host.backends.refuses_connections(&target).await;
-        !is_crash || record_crash(&host, &request_id, key, &keys)
+        !is_crash || record_crash(&host, &request_id, key, blame, &keys)
     });
     recording.await.unwrap_or(true)
 }
 
 /// Blames a request for a crash. Returns whether it may be sent to another backend: one that
 /// nothing blamed before may, because backends mostly crash for other reasons.
-fn record_crash<B>(host: &Host<B>, request_id: &str, key: BackendKey, keys: &[PartKey]) -> bool {
+fn record_crash<B>(
+    host: &Host<B>,
+    request_id: &str,
+    key: BackendKey,
+    blame: Blame,
+    keys: &[PartKey],
+) -> bool {
     let target = host.target(key);
     let now_ms = host.now_ms();
     let started_ms = host.directory.borrow().get(key).entry.started_ms;
@@ -128,12 +173,16 @@
     let may_retry = {
         let mut causes = host.crash_causes.borrow_mut();
         let was_suspect = causes.is_suspect(keys, now_ms);
-        causes.record_crash(crash, keys, 0, now_ms);
+        let (parts, request) = keys.split_at(keys.len().saturating_sub(1));
+        causes.record(crash, blame.request, request, 0, now_ms);
+        if let Some(evidence) = blame.parts {
+            causes.record(crash, evidence, parts, 0, now_ms);
+        }
         !was_suspect
     };
     let fields = format!(
-        "request={request_id} back_end={} may_retry={may_retry}",
-        target.id
+        "request={request_id} back_end={} evidence={:?} may_retry={may_retry}",
+        target.id, blame.request
     );
     log::write(Event::CrashObserved, &fields);
     host.metrics.engine_crashes.inc();
--- a/crates/yucca-serve/src/plain.rs
+++ b/crates/yucca-serve/src/plain.rs
@@ -116,8 +116,8 @@
                     context.record_failure(key, Stage::Run, progress, &fault, state_before);
                 drop(in_flight);
                 drop(permission);
-                let is_broken = matches!(fault, CallFault::Broken(_));
-                let is_safe = !is_broken || crashes::record_break(context, key).await;
+                let is_safe =
+                    crashes::record_fault(context, key, Stage::Run, progress, &fault).await;
                 if !may_repeat || !is_safe {
                     return failed_reply
                         .unwrap_or_else(|| context.refuse(Code::BackendUnreachable));
--- a/crates/yucca-serve/src/ports.rs
+++ b/crates/yucca-serve/src/ports.rs
@@ -201,6 +201,8 @@
     },
     /// The request was sent; whether it ran is unknown.
     Broken(String),
+    /// The request was sent, and no response arrived in time; whether it ran is unknown.
+    TimedOut,
     /// What arrived is no answer to the request; whether that ran is unknown.
     Invalid(ResponseFault),
 }
--- a/crates/yucca-serve/src/roles.rs
+++ b/crates/yucca-serve/src/roles.rs
@@ -481,7 +481,9 @@
         Ok(OrderReply::Accepted) => now_ms + switch_ms + REGISTRATION_SLACK_MS,
         Ok(OrderReply::Holds | OrderReply::Busy | OrderReply::Fenced | OrderReply::Refused(_))
         | Err(CallFault::NotSent(_) | CallFault::NotRun { .. }) => now_ms + REFUSAL_PAUSE_MS,
-        Err(CallFault::Broken(_) | CallFault::Invalid(_)) => now_ms + UNKNOWN_ORDER_MS,
+        Err(CallFault::Broken(_) | CallFault::TimedOut | CallFault::Invalid(_)) => {
+            now_ms + UNKNOWN_ORDER_MS
+        }
     };
     let event = match reply {
         Ok(OrderReply::Accepted | OrderReply::Holds) => Event::OrderSent,
@@ -491,7 +493,8 @@
     pending.set(key, until_ms, change.to);
     let is_unchanged = !matches!(
         reply,
-        Ok(OrderReply::Accepted) | Err(CallFault::Broken(_) | CallFault::Invalid(_))
+        Ok(OrderReply::Accepted)
+            | Err(CallFault::Broken(_) | CallFault::TimedOut | CallFault::Invalid(_))
     );
     if is_unchanged {
         announce_unavailable(host, key, 0).await;
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -288,7 +288,9 @@
                     health.record_unreachable(now_ms);
                 }
                 CallFault::NotRun { .. } => backend.record_refusal(now_ms),
-                CallFault::Broken(_) | CallFault::Invalid(_) => health.record_broken_connection(),
+                CallFault::Broken(_) | CallFault::TimedOut | CallFault::Invalid(_) => {
+                    health.record_broken_connection();
+                }
             }
         }
         let is_unsent = matches!(fault, CallFault::NotSent(_));
@@ -297,7 +299,9 @@
             (Stage::Read, _) | (Stage::Run, CallFault::NotSent(_) | CallFault::NotRun { .. }) => {
                 may_have_run_before
             }
-            (Stage::Run, CallFault::Broken(_) | CallFault::Invalid(_)) => true,
+            (Stage::Run, CallFault::Broken(_) | CallFault::TimedOut | CallFault::Invalid(_)) => {
+                true
+            }
         };
         self.may_have_run.set(may_have_run);
         if is_unsent {
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -202,8 +202,10 @@
         }
         Err(fault) => {
             let state_before = context.run_state();
-            context.record_failure(prefill, Stage::Read, Progress::NoHead, &fault, state_before);
-            if context.attempts().attempt_cost().is_none() {
+            let (stage, progress) = (Stage::Read, Progress::NoHead);
+            context.record_failure(prefill, stage, progress, &fault, state_before);
+            let is_safe = crashes::record_fault(context, prefill, stage, progress, &fault).await;
+            if !is_safe || context.attempts().attempt_cost().is_none() {
                 return Err(Box::new(context.refuse(Code::NoBackend)));
             }
             Ok(None)
@@ -253,7 +255,11 @@
             if matches!(fault, CallFault::NotSent(_)) {
                 context.restore_attempts(attempts_before);
             }
-            if context.record_failure(key, Stage::Run, Progress::NoHead, &fault, state_before) {
+            let (stage, progress) = (Stage::Run, Progress::NoHead);
+            let may_repeat = context.record_failure(key, stage, progress, &fault, state_before);
+            drop(in_flight);
+            let is_safe = crashes::record_fault(context, key, stage, progress, &fault).await;
+            if may_repeat && is_safe {
                 Ok(None)
             } else {
                 Err(Box::new(context.refuse(Code::BackendUnreachable)))
@@ -374,7 +380,7 @@
                 .get_mut(key)
                 .health
                 .record_unreachable(host.now_ms());
-            Err(CallFault::Broken("prefill timed out".to_owned()))
+            Err(CallFault::TimedOut)
         }
     };
     let is_refused = matches!(
@@ -613,7 +619,7 @@
                 // The failed attempt is closed before another one starts.
                 drop(opened);
                 let is_safe =
-                    progress != Progress::Head || crashes::record_break(context, key).await;
+                    crashes::record_fault(context, key, Stage::Run, progress, &fault).await;
                 if !may_repeat || !is_safe {
                     break;
                 }
--- a/crates/yucca-serve/tests/common/mod.rs
+++ b/crates/yucca-serve/tests/common/mod.rs
@@ -93,8 +93,14 @@
 pub struct EngineFleet {
     /// Id of the deadly part, if there is one.
     pub deadly_part: Cell<Option<u64>>,
-    /// Body of the request that crashes each plain server that runs it, if there is one.
+    /// Body of the request that crashes each backend that runs it, if there is one.
     pub deadly_body: RefCell<Option<Bytes>>,
+    /// Whether a deadly request crashes an engine before the head of the response is sent.
+    pub crashes_before_head: Cell<bool>,
+    /// Time from the arrival of a request at an engine to the head of the response, in milliseconds.
+    pub head_ms: Cell<u64>,
+    /// Whether a deadly request crashes the engines that only prefill its prompt, too.
+    pub crashes_prefill: Cell<bool>,
     /// Limit that each engine names, in requests a second.
     pub limits_per_s: RefCell<HashMap<String, f64>>,
     /// Times at which requests and prefills reached each engine.
@@ -120,6 +126,9 @@
         Rc::new(Self {
             deadly_part: Cell::new(None),
             deadly_body: RefCell::default(),
+            crashes_before_head: Cell::default(),
+            head_ms: Cell::default(),
+            crashes_prefill: Cell::default(),
             limits_per_s: RefCell::default(),
             arrivals: RefCell::default(),
             crashes: RefCell::default(),
@@ -169,6 +178,42 @@
         Ok(())
     }
 
+    /// Waits until an engine sends the head of its response to a generation.
+    async fn begin_generation(&self, id: &str, request: &Request) -> Result<(), CallFault> {
+        let before = self.last_crash(id);
+        let is_deadly = self.is_deadly(request);
+        if is_deadly {
+            self.deadly_calls.borrow_mut().push(Instant::now());
+        }
+        let until = Instant::now() + Duration::from_millis(self.head_ms.get());
+        while Instant::now() < until {
+            wait_ms(1).await;
+            if self.last_crash(id) != before {
+                return Err(CallFault::Broken("reset".to_owned()));
+            }
+        }
+        if is_deadly && self.crashes_before_head.get() {
+            self.crashes.borrow_mut().push(Instant::now());
+            self.crash(id);
+            return Err(CallFault::Broken("reset".to_owned()));
+        }
+        Ok(())
+    }
+
+    /// Runs a prefill on an engine.
+    fn run_prefill(&self, id: &str, request: &Request) -> Result<(), CallFault> {
+        if self.is_down(id) {
+            return Err(CallFault::NotSent("refused".to_owned()));
+        }
+        if self.crashes_prefill.get() && self.is_deadly(request) {
+            self.deadly_calls.borrow_mut().push(Instant::now());
+            self.crashes.borrow_mut().push(Instant::now());
+            self.crash(id);
+            return Err(CallFault::Broken("reset".to_owned()));
+        }
+        Ok(())
+    }
+
     fn record_arrival(&self, id: &str) {
         let mut arrivals = self.arrivals.borrow_mut();
         arrivals
@@ -184,9 +229,10 @@
     fn is_deadly(&self, request: &Request) -> bool {
         let parts = request.prompt.as_ref().map_or(&[][..], |p| &p.parts);
         let shared = &parts[..parts.len().saturating_sub(1)];
-        shared
+        let has_deadly_part = shared
             .iter()
-            .any(|part| Some(part.id) == self.deadly_part.get())
+            .any(|part| Some(part.id) == self.deadly_part.get());
+        has_deadly_part || self.deadly_body.borrow().as_ref() == Some(&request.body)
     }
 }
 
@@ -342,7 +388,9 @@
                 return Err(CallFault::NotSent("refused".to_owned()));
             }
             fleet.record_arrival(&to.id);
-            if request.prompt.is_none() {
+            if request.prompt.is_some() {
+                fleet.begin_generation(&to.id, request).await?;
+            } else {
                 tokio::select! {
                     outcome = fleet.run_plain(&to.id, request) => outcome?,
                     () = self.wait_until_cut_off(to) => {
@@ -350,8 +398,7 @@
                     }
                 }
             }
-            if fleet.is_deadly(request) {
-                fleet.deadly_calls.borrow_mut().push(Instant::now());
+            if request.prompt.is_some() && fleet.is_deadly(request) {
                 let crash = Chunk::Crash(EngineFleet::HEAD_TO_CRASH_MS);
                 step = Some(Step::Respond(200, vec![crash]));
             }
@@ -391,6 +438,9 @@
     ) -> Result<Prefilled, CallFault> {
         self.record(to, &call, true);
         wait_ms(1 + self.prefill_ms.get()).await;
+        if let Some(fleet) = &*self.fleet.borrow() {
+            fleet.run_prefill(&to.id, request)?;
+        }
         let outcome = self.prefills.borrow_mut().pop_front();
         outcome.unwrap_or(Ok(()))?;
         Ok(Prefilled {
--- a/crates/yucca-serve/tests/common/site.rs
+++ b/crates/yucca-serve/tests/common/site.rs
@@ -56,6 +56,13 @@
     draws: Cell<u64>,
     /// Number of incarnations of each engine.
     incarnations: RefCell<Vec<u64>>,
+    prefill_engines: Cell<u8>,
+    /// Length of the prompts, in tokens.
+    prompt_tokens: Cell<u32>,
+    /// Number of different second parts of the requests of [`Site::send_sound`].
+    pub subjects: Cell<u64>,
+    /// Number of generations that a host refused because they crash engines.
+    pub refused_as_cause: Cell<u32>,
     /// Time of each request of [`Site::send_sound`], and whether its first attempt was served.
     pub served: RefCell<Vec<(Instant, bool)>>,
 }
@@ -67,6 +74,14 @@
         Self::spawn_kind(hosts, loss, kind, ENGINES)
     }
 
+    /// Starts hosts and engines, for generations that may run at most once.
+    pub fn spawn_at_most_once(hosts: usize, loss: f64) -> Rc<Self> {
+        let kind = RouteKind::Stream {
+            is_resumable: false,
+        };
+        Self::spawn_kind(hosts, loss, kind, ENGINES)
+    }
+
     /// Starts hosts and the servers of a plain service.
     pub fn spawn_plain(hosts: usize, loss: f64, kind: RouteKind) -> Rc<Self> {
         Self::spawn_kind(hosts, loss, kind, SERVERS)
@@ -87,6 +102,10 @@
             backends,
             draws: Cell::new(1),
             incarnations: RefCell::new(vec![1; usize::from(backends)]),
+            prefill_engines: Cell::default(),
+            prompt_tokens: Cell::new(600),
+            subjects: Cell::new(8),
+            refused_as_cause: Cell::default(),
             served: RefCell::default(),
         });
         for number in 0..hosts {
@@ -137,7 +156,12 @@
             RouteKind::Stream { .. } => "model",
             RouteKind::Idempotent | RouteKind::AtMostOnce => "desk",
         };
-        let mut entry = entry(service, engine, Phase::Decode);
+        let phase = if engine < self.prefill_engines.get() {
+            Phase::Prefill
+        } else {
+            Phase::Decode
+        };
+        let mut entry = entry(service, engine, phase);
         entry.started_ms = self.incarnations.borrow()[usize::from(engine)];
         let id = engine_id(engine);
         let revision = entry.started_ms;
@@ -145,6 +169,19 @@
         directory.apply_entry(&id, revision, entry, host.now_ms());
     }
 
+    /// Lists the first `count` engines as prefill engines, and makes prompts long enough for a remote
+    /// prefill.
+    pub fn list_prefill_engines(&self, count: u8) {
+        self.prefill_engines.set(count);
+        self.prompt_tokens.set(8_000);
+        for engine in 0..count {
+            self.incarnations.borrow_mut()[usize::from(engine)] += 1;
+            for member in self.members.borrow().iter() {
+                self.list_engine(&member.host, engine);
+            }
+        }
+    }
+
     /// Delivers datagrams and lists restarted engines, for as long as the test runs.
     async fn run(self: Rc<Self>) {
         let mut was_down = vec![false; usize::from(self.backends)];
@@ -196,18 +233,23 @@
     /// complete response arrives and the status allows it. Returns the status and completeness of
     /// the first attempt.
     pub async fn call(&self, parts: Vec<u64>) -> (u16, bool) {
-        let first = self.attempt(parts.clone()).await;
+        self.call_with_body(parts, Bytes::new()).await
+    }
+
+    /// As [`Site::call`], with a body.
+    pub async fn call_with_body(&self, parts: Vec<u64>, body: Bytes) -> (u16, bool) {
+        let first = self.attempt(parts.clone(), body.clone()).await;
         let may_retry = !first.1 && first.0 != 422;
         if may_retry {
             wait_ms(5).await;
-            self.attempt(parts).await;
+            self.attempt(parts, body).await;
         }
         first
     }
 
     /// Sends a request with the given parts through a random host. Returns the status, and whether
     /// the response is complete.
-    pub async fn attempt(&self, parts: Vec<u64>) -> (u16, bool) {
+    async fn attempt(&self, parts: Vec<u64>, body: Bytes) -> (u16, bool) {
         let member = self.random_member();
         for engine in 0..ENGINES {
             let chunks = vec![
@@ -217,20 +259,29 @@
             let step = super::Step::Respond(200, chunks);
             member.host.backends.script(&engine_id(engine), [step]);
         }
-        let parts = parts.into_iter().map(|id| PromptPart { id, tokens: 200 });
+        let tokens = self.prompt_tokens.get();
+        let part_tokens = tokens / 3;
+        let parts = parts.into_iter().map(|id| PromptPart {
+            id,
+            tokens: part_tokens,
+        });
         let prompt = Prompt {
             model: "m".to_owned(),
-            tokens: 600,
+            tokens,
             max_output_tokens: 20,
             parts: parts.collect(),
         };
         let request = Request {
             id: format!("r{}", self.draw(u64::MAX >> 34)),
             prompt: Some(prompt),
+            body,
             ..super::request()
         };
         let reply = serve(&member.host, request).await;
         let status = reply.head.status.as_u16();
+        if status == 422 {
+            self.refused_as_cause.set(self.refused_as_cause.get() + 1);
+        }
         let is_complete = reply.body.collect().await.is_ok();
         (status, status == 200 && is_complete)
     }
@@ -272,7 +323,7 @@
             let site = Rc::clone(&self);
             spawn_local(async move {
                 let begun = Instant::now();
-                let subject = 10 + site.draw(8);
+                let subject = 1_000 + site.draw(site.subjects.get());
                 let (_, is_served) = site.call(vec![1, subject, own]).await;
                 site.served.borrow_mut().push((begun, is_served));
             });
--- a/src/crash_cause.rs
+++ b/src/crash_cause.rs
@@ -1,11 +1,16 @@
 //! Identification of the requests, and of the parts of prompts, that crash the backends that run
 //! them.
 //!
-//! An engine crashes when it begins to write a response. Each crash therefore blames the parts of
-//! the requests whose responses had begun and had no event yet. A response with an event proves
-//! that its parts are sound, which refutes earlier blame. A plain server shows nothing before its
-//! response is complete: its crash blames all requests that it had not answered, each of which
-//! counts as a single part, and a complete response proves its request sound.
+//! An engine crashes when it begins to write a response, before or after it has sent the head. Each
+//! crash therefore blames the parts of the requests whose responses had begun and had no event yet,
+//! and, with less weight, those of the requests that still waited for their heads: these are many,
+//! and most of them are sound. A response with an event proves that its parts are sound, which
+//! refutes earlier blame.
+//!
+//! A plain server shows nothing before its response is complete: its crash blames all requests that
+//! it had not answered, each of which counts as a single part, and a complete response proves its
+//! request sound. A generation counts as a single part too, beside the parts of its prompt; as few
+//! generations are alike, it is blamed more than a part while it waits.
 //!
 //! Parts that were blamed for the same crashes cannot be told apart. A request is refused only if
 //! it contains a part with enough crashes and all parts that cannot be told apart from it, so that
@@ -46,8 +51,19 @@
 const IDENTIFIED_MS: i64 = 600_000;
 /// Time in ms after which a crash that identified nothing is forgotten.
 const SUSPECTED_MS: i64 = 60_000;
-/// Number of crashes that identify a part.
-const CRASHES_TO_REFUSE: usize = 2;
+/// Weight of the crashes that identify a part: two with [`Evidence::Begun`], three with
+/// [`Evidence::SameRequest`], four with [`Evidence::Waiting`]. Of the sound parts that few requests
+/// have, chance puts some into two crashes among the requests that wait, and hardly one into four.
+const WEIGHT_TO_REFUSE: u32 = 12;
+/// Weight of the crashes from which a part is suspected.
+const WEIGHT_TO_SUSPECT: u32 = 4;
+/// Share of the crashes of one moment, as a divisor, that must blame a part for requests that wait:
+/// when many engines are lost at once, each of them has other requests that wait.
+const MIN_SHARE_DIVISOR: usize = 3;
+/// Maximum number of crashes whose times are kept.
+const MAX_CRASH_TIMES: usize = 4_096;
+/// Number of crashes, whatever their cause, from which a whole request is on trial.
+const CRASHES_FOR_TRIAL: usize = 2;
 /// Crashes within this time in ms count as one: engines of a lost rack end at the same moment, and
 /// hosts notice it at slightly different times.
 const SAME_CAUSE_MS: i64 = 100;
@@ -62,6 +78,8 @@
 /// Maximum number of parts with crashes. Those with the fewest crashes are evicted first, so that
 /// invented parts do not displace an identified one.
 const MAX_PARTS: usize = 4_096;
+/// Interval in ms at which expired parts are evicted. Reports come in hundreds when a rack is lost.
+const EVICTION_INTERVAL_MS: u64 = 1_000;
 /// Maximum number of sound parts in each of the two generations that are kept.
 const MAX_SOUND: usize = 4_096;
 
@@ -78,11 +96,36 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct CrashId(pub u64);
 
+/// How closely a crash points to a part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Evidence {
+    /// A request with the part waited for the head of its response.
+    Waiting,
+    /// The part stands for a whole generation, which waited for the head of its response or for its
+    /// prefill.
+    SameRequest,
+    /// The response to a request with the part had begun, or the part stands for a whole request to
+    /// a plain server.
+    Begun,
+}
+
+impl Evidence {
+    fn weight(self) -> u32 {
+        match self {
+            Self::Waiting => 3,
+            Self::SameRequest => 4,
+            Self::Begun => 6,
+        }
+    }
+}
+
 /// A crash that blames a part, in a message between hosts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
     /// The crash.
     pub crash: CrashId,
+    /// How closely it points to the part.
+    pub evidence: Evidence,
     /// Time since the crash in ms.
     pub age_ms: u64,
     /// Whether a later response proved the part sound.
@@ -101,6 +144,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Blame {
     crash: CrashId,
+    evidence: Evidence,
     /// Time of the crash; negative if it was before this host's clock began.
     at_ms: i64,
     is_refuted: bool,
@@ -119,38 +163,69 @@
         self.blames.iter().filter(|blame| !blame.is_refuted)
     }
 
-    /// Number of crashes that are not refuted, where those of the same cause count once.
-    fn crash_count(&self) -> usize {
-        let mut counted = 0;
-        let mut last_ms = None;
+    /// Returns the moments at which crashes that are not refuted blame the part. Crashes of the same
+    /// moment may have one cause.
+    fn moments(&self) -> Vec<Moment> {
+        let mut moments: Vec<Moment> = Vec::new();
         for blame in self.live() {
-            if last_ms.is_none_or(|last_ms| blame.at_ms >= last_ms + SAME_CAUSE_MS) {
-                counted += 1;
-                last_ms = Some(blame.at_ms);
+            match moments.last_mut().filter(|last| last.includes(blame.at_ms)) {
+                Some(moment) => {
+                    moment.crashes += 1;
+                    moment.evidence = moment.evidence.max(blame.evidence);
+                }
+                None => moments.push(Moment {
+                    begun_ms: blame.at_ms,
+                    evidence: blame.evidence,
+                    crashes: 1,
+                }),
             }
         }
-        counted
+        moments
+    }
+
+    fn weight(&self, times: &CrashTimes) -> u32 {
+        let moments = self.moments().into_iter();
+        moments.map(|moment| moment.weight(times)).sum()
     }
 
     /// Whether several crashes blame the part, which may all have one cause.
-    fn is_on_trial(&self) -> bool {
-        !self.is_identified() && self.live().count() >= CRASHES_TO_REFUSE
+    fn is_on_trial(&self, times: &CrashTimes) -> bool {
+        !self.is_identified(times) && self.live().count() >= CRASHES_FOR_TRIAL
     }
 
-    fn is_identified(&self) -> bool {
-        self.crash_count() >= CRASHES_TO_REFUSE
+    fn is_identified(&self, times: &CrashTimes) -> bool {
+        self.weight(times) >= WEIGHT_TO_REFUSE
     }
 
-    /// Whether every crash that blames `other` blames this part too.
+    /// Returns the position of a blame that can be removed without loss of weight: one that is
+    /// refuted, or of the moment with the most crashes the one with the least evidence.
+    fn redundant(&self) -> Option<usize> {
+        let refuted = self.blames.iter().position(|blame| blame.is_refuted);
+        refuted.or_else(|| {
+            let moments = self.moments();
+            let moment = moments.iter().max_by_key(|moment| moment.crashes);
+            let moment = moment.filter(|moment| moment.crashes > 1)?;
+            let positions = 0..self.blames.len();
+            positions
+                .filter(|at| {
+                    let at_ms = self.blames[*at].at_ms;
+                    at_ms >= moment.begun_ms && moment.includes(at_ms)
+                })
+                .min_by_key(|at| self.blames[*at].evidence)
+        })
+    }
+
+    /// Whether every crash that blames `other` blames this part too, and as closely.
     fn covers(&self, other: &Part) -> bool {
-        other
-            .live()
-            .all(|blame| self.live().any(|own| own.crash == blame.crash))
+        other.live().all(|blame| {
+            let is_same = |own: &Blame| own.crash == blame.crash && own.evidence >= blame.evidence;
+            self.live().any(is_same)
+        })
     }
 
-    fn expires_ms(&self) -> i64 {
+    fn expires_ms(&self, times: &CrashTimes) -> i64 {
         let last_ms = self.blames.last().map(|blame| blame.at_ms);
-        let keep_ms = if self.is_identified() {
+        let keep_ms = if self.is_identified(times) {
             IDENTIFIED_MS
         } else {
             SUSPECTED_MS
@@ -158,8 +233,70 @@
         last_ms.unwrap_or(i64::MIN / 2) + keep_ms
     }
 
-    fn is_expired(&self, now_ms: u64) -> bool {
-        signed_ms(now_ms) >= self.expires_ms()
+    fn is_expired(&self, times: &CrashTimes, now_ms: u64) -> bool {
+        let last_ms = self.blames.last().map_or(i64::MIN / 2, |blame| blame.at_ms);
+        // Spares most parts the weighing of their crashes.
+        let is_recent = signed_ms(now_ms) < last_ms + SUSPECTED_MS;
+        !is_recent && signed_ms(now_ms) >= self.expires_ms(times)
+    }
+}
+
+/// Crashes at the same moment that blame one part.
+#[derive(Debug, Clone, Copy)]
+struct Moment {
+    begun_ms: i64,
+    /// The closest evidence of any of them.
+    evidence: Evidence,
+    crashes: usize,
+}
+
+impl Moment {
+    fn includes(&self, at_ms: i64) -> bool {
+        at_ms < self.begun_ms + SAME_CAUSE_MS
+    }
+
+    fn weight(&self, times: &CrashTimes) -> u32 {
+        let is_incidental = self.evidence == Evidence::Waiting
+            && self.crashes * MIN_SHARE_DIVISOR < times.count_near(self.begun_ms);
+        if is_incidental {
+            0
+        } else {
+            self.evidence.weight()
+        }
+    }
+}
+
+/// Times of the latest crashes that this host knows of, on its monotonic clock.
+#[derive(Debug, Default)]
+struct CrashTimes {
+    known: IndexSet<CrashId>,
+    /// Times of the crashes in ascending order.
+    sorted: Vec<(i64, CrashId)>,
+}
+
+impl CrashTimes {
+    fn insert(&mut self, crash: CrashId, at_ms: i64) {
+        if !self.known.insert(crash) {
+            return;
+        }
+        let at = self
+            .sorted
+            .partition_point(|(known_ms, _)| *known_ms <= at_ms);
+        self.sorted.insert(at, (at_ms, crash));
+        if self.sorted.len() > MAX_CRASH_TIMES {
+            let (_, oldest) = self.sorted.remove(0);
+            self.known.swap_remove(&oldest);
+        }
+    }
+
+    fn count_near(&self, at_ms: i64) -> usize {
+        let first = self
+            .sorted
+            .partition_point(|(known_ms, _)| *known_ms <= at_ms - SAME_CAUSE_MS);
+        let end = self
+            .sorted
+            .partition_point(|(known_ms, _)| *known_ms < at_ms + SAME_CAUSE_MS);
+        end - first
     }
 }
 
@@ -177,6 +314,9 @@
 #[derive(Debug, Default)]
 pub struct CrashCauses {
     parts: IndexMap<PartKey, Part>,
+    times: CrashTimes,
+    /// Time from which expired parts are evicted again.
+    next_eviction_ms: u64,
     /// Time of the last response that proved a part sound, by part. A crash may be reported after
     /// the response that refutes its blame. When the newer generation is full, it replaces the
     /// older one.
@@ -202,8 +342,21 @@
     /// Records that a backend crashed `age_ms` ago while it began a response to a request with
     /// `parts`.
     pub fn record_crash(&mut self, crash: CrashId, parts: &[PartKey], age_ms: u64, now_ms: u64) {
+        self.record(crash, Evidence::Begun, parts, age_ms, now_ms);
+    }
+
+    /// Records that a backend crashed `age_ms` ago, which points to `parts` with this `evidence`.
+    pub fn record(
+        &mut self,
+        crash: CrashId,
+        evidence: Evidence,
+        parts: &[PartKey],
+        age_ms: u64,
+        now_ms: u64,
+    ) {
         let report = CrashReport {
             crash,
+            evidence,
             age_ms,
             is_refuted: false,
         };
@@ -224,7 +377,7 @@
             let Some(known) = self.parts.get_mut(part) else {
                 continue;
             };
-            if known.live().count() >= CRASHES_TO_REFUSE {
+            if known.live().count() >= CRASHES_FOR_TRIAL {
                 self.urgent.insert(*part);
             }
             for blame in known.blames.iter_mut().filter(|blame| !blame.is_refuted) {
@@ -245,7 +398,7 @@
         parts.iter().any(|part| {
             let identified = self
                 .known(part, now_ms)
-                .filter(|known| known.is_identified());
+                .filter(|known| known.is_identified(&self.times));
             identified.is_some_and(|identified| {
                 let mut common = self
                     .parts
@@ -259,21 +412,23 @@
     /// Whether the whole request `request` is on trial.
     pub fn is_on_trial(&self, request: PartKey, now_ms: u64) -> bool {
         let known = self.known(&request, now_ms);
-        known.is_some_and(Part::is_on_trial)
+        known.is_some_and(|known| known.is_on_trial(&self.times))
     }
 
-    /// Whether any of `parts` is blamed for a crash.
+    /// Whether any of `parts` is blamed for a crash, or for several while requests with it waited.
     pub fn is_suspect(&self, parts: &[PartKey], now_ms: u64) -> bool {
         parts.iter().any(|part| {
             let known = self.known(part, now_ms);
-            known.is_some_and(|known| known.live().next().is_some())
+            known.is_some_and(|known| known.weight(&self.times) >= WEIGHT_TO_SUSPECT)
         })
     }
 
     /// Whether enough crashes blame a part, and no other part is blamed for these and more.
     fn is_cause(&self, part: &Part, now_ms: u64) -> bool {
         let is_outdone = |other: &Part| other.covers(part) && !part.covers(other);
-        part.is_identified() && !part.is_expired(now_ms) && !self.parts.values().any(is_outdone)
+        part.is_identified(&self.times)
+            && !part.is_expired(&self.times, now_ms)
+            && !self.parts.values().any(is_outdone)
     }
 
     /// Returns the number of parts that enough crashes blame to refuse them.
@@ -291,7 +446,7 @@
         for (key, part) in &mut self.parts {
             let is_identified = causes.contains(key);
             if is_identified && !part.is_announced {
-                new.push((*key, part.crash_count()));
+                new.push((*key, part.moments().len()));
             }
             part.is_announced = is_identified;
         }
@@ -324,11 +479,16 @@
         let mut parts: Vec<(&PartKey, &Part)> = self
             .parts
             .iter()
-            .filter(|(_, part)| !part.is_expired(now_ms))
+            .filter(|(_, part)| !part.is_expired(&self.times, now_ms))
             .collect();
         let start = start as usize % parts.len().max(1);
         parts.rotate_left(start);
-        parts.sort_by_key(|(_, part)| (!part.is_identified(), part.live().next().is_none()));
+        parts.sort_by_cached_key(|(_, part)| {
+            (
+                !part.is_identified(&self.times),
+                part.live().next().is_none(),
+            )
+        });
         let parts = parts.into_iter().take(limit);
         parts
             .filter_map(|(part, _)| self.report(part, now_ms))
@@ -350,6 +510,7 @@
             return false;
         }
         let at_ms = signed_ms(now_ms) - age_ms;
+        self.times.insert(report.crash, at_ms);
         let sound_ms = self.sound.iter().filter_map(|sound| sound.get(&key)).max();
         let is_refuted =
             report.is_refuted || sound_ms.is_some_and(|sound_ms| signed_ms(*sound_ms) > at_ms);
@@ -358,14 +519,15 @@
         }
         let part = self.parts.entry(key).or_default();
         if let Some(known) = part.blames.iter_mut().find(|b| b.crash == report.crash) {
-            let is_new = is_refuted && !known.is_refuted;
+            let is_closer = report.evidence > known.evidence;
+            let is_new = is_closer || is_refuted && !known.is_refuted;
+            known.evidence = report.evidence.max(known.evidence);
             known.is_refuted |= is_refuted;
             return is_new;
         }
         let is_full = part.blames.len() >= MAX_CRASHES;
         if is_full {
-            // A refuted crash says nothing any more and makes room.
-            let Some(at) = part.blames.iter().position(|blame| blame.is_refuted) else {
+            let Some(at) = part.redundant() else {
                 return false;
             };
             part.blames.remove(at);
@@ -373,6 +535,7 @@
         let at = part.blames.partition_point(|blame| blame.at_ms <= at_ms);
         let blame = Blame {
             crash: report.crash,
+            evidence: report.evidence,
             at_ms,
             is_refuted,
         };
@@ -389,13 +552,14 @@
 
     fn known(&self, part: &PartKey, now_ms: u64) -> Option<&Part> {
         let known = self.parts.get(part)?;
-        (!known.is_expired(now_ms)).then_some(known)
+        (!known.is_expired(&self.times, now_ms)).then_some(known)
     }
 
     fn report(&self, part: &PartKey, now_ms: u64) -> Option<PartReport> {
         let known = self.parts.get(part)?;
         let crashes = known.blames.iter().map(|blame| CrashReport {
             crash: blame.crash,
+            evidence: blame.evidence,
             age_ms: u64::try_from(signed_ms(now_ms) - blame.at_ms).unwrap_or(0),
             is_refuted: blame.is_refuted,
         });
@@ -406,12 +570,17 @@
     }
 
     fn evict(&mut self, now_ms: u64) {
-        self.parts.retain(|_, part| !part.is_expired(now_ms));
+        let times = &self.times;
+        if now_ms >= self.next_eviction_ms || self.parts.len() > MAX_PARTS {
+            self.next_eviction_ms = now_ms + EVICTION_INTERVAL_MS;
+            self.parts.retain(|_, part| !part.is_expired(times, now_ms));
+        }
         if self.parts.len() > MAX_PARTS {
             // Evicting several at once spares the sort for the next ones.
             let kept = MAX_PARTS - MAX_PARTS / 8;
-            self.parts
-                .sort_by_key(|_, part| Reverse((part.crash_count(), part.expires_ms())));
+            self.parts.sort_by_cached_key(|_, part| {
+                Reverse((part.weight(times), part.expires_ms(times)))
+            });
             self.parts.truncate(kept);
         }
     }
--- a/tests/crash_cause.rs
+++ b/tests/crash_cause.rs
@@ -1,7 +1,7 @@
 //! Tests which parts of prompts are identified as the cause of crashes.
 
 use yuccacove::crash_cause::{
-    CrashCauses, CrashId, CrashReport, PartKey, PartReport, trial_delay_ms,
+    CrashCauses, CrashId, CrashReport, Evidence, PartKey, PartReport, trial_delay_ms,
 };
 
 const SHARED: PartKey = part(1);
@@ -121,6 +121,131 @@
     assert!(!causes.is_refused(&[SHARED, part(10)], 2_010));
 }
 
+/// Guards against a part that crashes engines before they send a byte and is never identified, and
+/// against one that is identified because requests with it waited on two engines that crashed.
+#[test]
+fn is_refused_waiting_in_four_crashes() {
+    let mut causes = CrashCauses::default();
+    for crash in 1..=4u64 {
+        let parts = [SHARED, DEADLY, part(10 + crash)];
+        assert!(!causes.is_refused(&parts, crash * 1_000), "crash {crash}");
+        assert_eq!(causes.is_suspect(&parts, crash * 1_000), crash > 2);
+        causes.record(CrashId(crash), Evidence::Waiting, &parts, 0, crash * 1_000);
+        causes.record_sound(&[SHARED, part(30)], crash * 1_000 + 10);
+    }
+    assert!(causes.is_refused(&[DEADLY, part(20)], 5_000));
+    assert!(!causes.is_refused(&[SHARED, part(20)], 5_000));
+}
+
+/// Guards against refusing a sound generation that waited on two engines that crashed one after the
+/// other, the second one after a retry.
+#[test]
+fn is_refused_same_request_in_three_crashes() {
+    for (first, is_refused) in [
+        (Evidence::SameRequest, [false, false, true]),
+        (Evidence::Begun, [false, false, true]),
+    ] {
+        let mut causes = CrashCauses::default();
+        for crash in 0..3u64 {
+            let at_ms = 1_000 + crash * 500;
+            let evidence = if crash == 0 {
+                first
+            } else {
+                Evidence::SameRequest
+            };
+            causes.record(CrashId(crash), evidence, &[DEADLY], 0, at_ms);
+            let expected = is_refused[crash as usize];
+            assert_eq!(
+                causes.is_refused(&[DEADLY], at_ms),
+                expected,
+                "{first:?} {crash}"
+            );
+        }
+    }
+}
+
+/// Guards against a part that goes on crashing engines because sound requests waited in the same
+/// crashes.
+#[test]
+fn is_refused_beside_waiting() {
+    let waiting = part(20);
+    let mut causes = CrashCauses::default();
+    for crash in 1..=2u64 {
+        causes.record_crash(CrashId(crash), &[DEADLY], 0, crash * 1_000);
+        causes.record(
+            CrashId(crash),
+            Evidence::Waiting,
+            &[waiting],
+            0,
+            crash * 1_000,
+        );
+    }
+    assert!(causes.is_refused(&[DEADLY], 3_000));
+    assert!(!causes.is_refused(&[waiting], 3_000));
+    assert_eq!(causes.take_identified(3_000), [(DEADLY, 2)]);
+}
+
+/// Guards against refusing a sound part that few requests have, because requests with it waited when
+/// many engines were lost, again and again.
+#[test]
+fn is_refused_many_engines_lost() {
+    let sound = part(20);
+    for (engines, is_refused) in [(1, true), (3, true), (4, false), (12, false)] {
+        let mut causes = CrashCauses::default();
+        for loss in 1..=4u64 {
+            for engine in 0..engines {
+                let crash = CrashId(loss * 100 + engine);
+                let parts = if engine == 0 {
+                    sound
+                } else {
+                    part(1_000 + crash.0)
+                };
+                causes.record(crash, Evidence::Waiting, &[parts], 0, loss * 1_000 + engine);
+            }
+        }
+        assert_eq!(causes.is_refused(&[sound], 5_000), is_refused, "{engines}");
+    }
+}
+
+/// Guards against a part that is not identified because its first crashes, which came at the same
+/// moment, leave no room for later ones.
+#[test]
+fn is_refused_many_crashes_at_same_moment() {
+    let mut causes = CrashCauses::default();
+    for crash in 0..12 {
+        let at_ms = 1_000 + crash / 4 * 500;
+        causes.record(CrashId(crash), Evidence::Waiting, &[DEADLY], 0, at_ms);
+    }
+    assert!(!causes.is_refused(&[DEADLY], 2_500));
+    causes.record(CrashId(12), Evidence::Waiting, &[DEADLY], 0, 3_000);
+    assert!(causes.is_refused(&[DEADLY], 3_000));
+}
+
+/// Guards against hosts that disagree because one saw a request wait and the other saw its response
+/// begin, in the same crash.
+#[test]
+fn merge_closest_evidence() {
+    let report = |evidence| PartReport {
+        part: DEADLY,
+        crashes: [1, 2]
+            .map(|crash| CrashReport {
+                crash: CrashId(crash),
+                evidence,
+                age_ms: 10_000 - crash * 1_000,
+                is_refuted: false,
+            })
+            .to_vec(),
+    };
+    let reports = [report(Evidence::Waiting), report(Evidence::Begun)];
+    for order in [[0, 1], [1, 0]] {
+        let mut causes = CrashCauses::default();
+        for at in order {
+            causes.merge(&reports[at], 10_000);
+        }
+        assert!(causes.is_refused(&[DEADLY], 10_000), "{order:?}");
+    }
+}
+
 /// Guards against blame that outlives the proof that a part is sound, whichever is known first.
 #[test]
 fn is_refused_sound_part() {
@@ -172,6 +297,7 @@
             .iter()
             .map(|(crash, at_ms, is_refuted)| CrashReport {
                 crash: CrashId(*crash),
+                evidence: Evidence::Begun,
                 age_ms: 10_000 - at_ms,
                 is_refuted: *is_refuted,
             })
