Refuse requests that the end of a graceful shutdown would cut off

Cause: serve knew nothing of the grace period. Connections close 2.6 s after SIGTERM, but a request whose head or body comes slowly was taken whenever it was complete, and one that waited in the host was cut though it had not been sent.

Ruled out: kept connections, and those never used, stay open.

Change: shutdown decides which requests are still taken and when unsent ones are refused with 503, while it is true that they did not run; the process takes its time of exit from there.

--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -5,13 +5,14 @@
 
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Duration, Instant, sleep_until};
 use yucca_io::log;
 use yuccacove::crash_cause::{CrashCauses, PartKey};
 use yuccacove::event::Event;
 use yuccacove::fleet_rate::{FleetRates, HostId};
 use yuccacove::phase_split::PoolDemand;
 use yuccacove::retry::Budget;
+use yuccacove::shutdown::Shutdown;
 
 use crate::config::ServingConfig;
 use crate::config_order::ConfigOrder;
@@ -97,7 +98,9 @@
     config_order: RefCell<ConfigOrder>,
     retry_budgets: RefCell<IndexMap<String, Budget>>,
     host_count: Cell<u32>,
-    stopping: Cell<bool>,
+    shutdown: Cell<Shutdown>,
+    /// Notified when a graceful shutdown begins.
+    stopped: Notify,
     started: Instant,
     draw_seed: u64,
     next_draw: Cell<u64>,
@@ -108,6 +111,7 @@
     /// which should differ between hosts and between runs of one host.
     pub fn new(deployment: Deployment, backends: B, draw_seed: u64) -> Self {
         let own = HostId(hash_of(&deployment.name));
+        let shutdown = Shutdown::new(deployment.grace_ms);
         let relay = Relay::new(&deployment.name, deployment.change_bound_ms());
         Self {
             deployment,
@@ -125,7 +129,8 @@
             config_order: RefCell::default(),
             retry_budgets: RefCell::default(),
             host_count: Cell::new(1),
-            stopping: Cell::new(false),
+            shutdown: Cell::new(shutdown),
+            stopped: Notify::new(),
             started: Instant::now(),
             draw_seed,
             next_draw: Cell::new(0),
@@ -188,12 +193,32 @@
 
     /// Starts a graceful shutdown.
     pub fn stop(&self) {
-        self.stopping.set(true);
+        let mut shutdown = self.shutdown.get();
+        shutdown.begin(self.now_ms());
+        self.shutdown.set(shutdown);
+        self.stopped.notify_waiters();
+    }
+
+    /// Returns the state of the graceful shutdown.
+    pub fn shutdown(&self) -> Shutdown {
+        self.shutdown.get()
+    }
+
+    /// Waits until a graceful shutdown has come so far that requests are refused which were not sent
+    /// to a backend yet.
+    pub async fn until_refusal(&self) {
+        let stopped = self.stopped.notified();
+        if !self.is_stopping() {
+            stopped.await;
+        }
+        if let Some(refusal_ms) = self.shutdown.get().refusal_ms() {
+            sleep_until(self.started + Duration::from_millis(refusal_ms)).await;
+        }
     }
 
     /// Whether a graceful shutdown has started.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.get()
+        self.shutdown.get().is_begun()
     }
 
     /// Sets the number of hosts, including this one, among which the retry budgets are divided.
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -2,6 +2,7 @@
 //! kind.
 
 use std::cell::{Cell, RefCell};
+use std::pin::pin;
 use std::rc::Rc;
 
 use tokio::time::{Duration, Instant, sleep, timeout_at};
@@ -48,18 +49,38 @@
         return refuse(host, &request.id, Code::NoBackend, Some(RETRY_AFTER_MS));
     };
     let context = Rc::new(RequestContext::new(host, request, &config, route, service));
+    if !host.shutdown().accepts(context.left_ms(), host.now_ms()) {
+        return context.refuse(Code::NotReady);
+    }
     let run = async {
         match context.route.kind {
             RouteKind::Stream { .. } => stream::serve(&context).await,
             RouteKind::Idempotent | RouteKind::AtMostOnce => plain::serve(&context).await,
         }
     };
-    match timeout_at(context.deadline, run).await {
+    match timeout_at(context.deadline, until_exit(&context, run)).await {
         Ok(reply) => reply,
         Err(_) => context.refuse(Code::DeadlineExceeded),
     }
 }
 
+/// Runs a request. If a graceful shutdown nears its end before the request was sent to a backend,
+/// refuses it while it is still true that it did not run.
+async fn until_exit<B: Backends>(
+    context: &RequestContext<B>,
+    run: impl Future<Output = Reply>,
+) -> Reply {
+    let mut run = pin!(run);
+    tokio::select! {
+        reply = &mut run => return reply,
+        () = context.host.until_refusal() => {}
+    }
+    if context.run_state() == RunState::NotRun {
+        return context.refuse(Code::NotReady);
+    }
+    run.await
+}
+
 /// Refuses a request that was not sent to a backend.
 fn refuse<B>(host: &Host<B>, id: &str, code: Code, retry_after_ms: Option<u64>) -> Reply {
     host.metrics.record_refusal(code);
--- a/crates/yucca-serve/tests/serve.rs
+++ b/crates/yucca-serve/tests/serve.rs
@@ -15,7 +15,7 @@
 use std::future::poll_fn;
 use std::pin::Pin;
 use tokio::time::Instant;
-use yucca_serve::config::RouteKind;
+use yucca_serve::config::{Route, RouteKind};
 use yucca_serve::host::Host;
 use yucca_serve::ports::{CallFault, Notice, NoticeContent};
 use yucca_serve::reply::{Reply, ReplyBody};
@@ -619,3 +619,81 @@
         assert_eq!(backends_of_requests(&host).await, ["desk-1", "desk-2"]);
     });
 }
+
+/// Guards against requests that are taken late in the grace period of a planned stop, and are cut off
+/// with no answer when the process exits.
+#[test]
+fn serve_late_in_grace_period() {
+    /// Time of the request since the stop, time that its caller waits, and whether it is served.
+    const CASES: [(u64, u64, bool); 4] = [
+        (1_000, 4_000, true),
+        (2_900, 4_000, true),
+        (5_000, 4_000, false),
+        (5_000, 1_000, true),
+    ];
+    for kind in [AT_MOST_ONCE, IDEMPOTENT, STREAM] {
+        for (sent_ms, wait_for_ms, is_served) in CASES {
+            run_virtual(async {
+                let host = serving_host(route(kind, 1));
+                host.stop();
+                wait_ms(sent_ms).await;
+                let request = Request {
+                    deadline_ms: Some(wait_for_ms),
+                    ..if kind == STREAM {
+                        generation()
+                    } else {
+                        request()
+                    }
+                };
+                let reply = serve(&host, request).await;
+                let status = reply.head.status.as_u16();
+                let name = format!("{kind:?}, {wait_for_ms} ms, at {sent_ms} ms");
+                assert_eq!(status, if is_served { 200 } else { 503 }, "{name}");
+                assert_eq!(
+                    host.backends.calls.borrow().is_empty(),
+                    !is_served,
+                    "{name}"
+                );
+            });
+        }
+    }
+}
+
+/// Guards against a request that waits in the host until its process exits, and whose caller is not told
+/// that it did not run.
+#[test]
+fn serve_unsent_at_end_of_grace_period() {
+    run_virtual(async {
+        let long = Route {
+            timeout_ms: 10_000,
+            target_ms: 1_500,
+            urgency: 2,
+            ..route(STREAM, 1)
+        };
+        let host = serving_host(long);
+        script_all(&host, &vec![Step::Hang; 128]);
+        let short = || {
+            let mut request = generation();
+            let prompt = request.prompt.as_mut().expect("a prompt");
+            prompt.tokens = 10;
+            prompt.parts.truncate(1);
+            prompt.parts[0].tokens = 10;
+            request.deadline_ms = Some(10_000);
+            request
+        };
+        for _ in 0..200 {
+            let (host, request) = (Rc::clone(&host), short());
+            tokio::task::spawn_local(async move { serve(&host, request).await });
+        }
+        wait_ms(100).await;
+        host.stop();
+        wait_ms(2_900).await;
+        let reply = serve(&host, short()).await;
+        assert_eq!(reply.head.status, StatusCode::SERVICE_UNAVAILABLE);
+        let exit_ms = host.shutdown().exit_ms().expect("a shutdown");
+        let now_ms = host.now_ms();
+        assert!((6_000..exit_ms).contains(&now_ms), "{now_ms} ms");
+        // The others were sent, one attempt each.
+        assert!(host.backends.attempts().len() <= 200);
+    });
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod roles;
 pub mod routing;
 pub mod rules;
+pub mod shutdown;
 mod signed_time;
 pub mod slot_limit;
 mod splitmix;
