Limit the memory for answers over all requests of a host

Cause: each buffered answer, error and event had a limit, and nothing counted them together. A host did not know its memory limit.

Beyond the limit plain answers are passed on unbuffered. Large events wait for the caller to read.

--- a/crates/yucca-emulator/src/simulation.rs
+++ b/crates/yucca-emulator/src/simulation.rs
@@ -178,6 +178,7 @@
         grace_ms: 8_000,
         lease_ms: 3_000,
         heartbeat_ms: 1_200,
+        memory_bytes: 260_000_000,
     };
     let name = deployment.name.clone();
     let host = Rc::new(Host::new(deployment, pool.clone(), hash_of((seed, number))));
@@ -372,6 +373,7 @@
     let mut body = response.body;
     spawn_local(async move {
         while let Some(chunk) = body.chunk().await {
+            let chunk = chunk.map(yucca_serve::reply::ReplyData::from);
             let chunk = chunk.map_err(|_| yucca_serve::reply::Interrupted);
             if sender.send(chunk).await.is_err() {
                 return;
--- a/crates/yucca-serve/src/events.rs
+++ b/crates/yucca-serve/src/events.rs
@@ -48,6 +48,11 @@
         self.buffer.len() > MAX_EVENT_BYTES
     }
 
+    /// Returns the size of the incomplete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Discards the bytes of an incomplete event, before another attempt sends the event again.
     pub fn discard_partial(&mut self) {
         self.buffer.clear();
--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -19,6 +19,7 @@
 use crate::directory::{BackendKey, Directory};
 use crate::hash::hash_of;
 use crate::loads::Reservation;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::peers::{Peers, PrefillAnnouncement};
 use crate::ports::{Backends, NoticeContent, Object, Target};
@@ -52,6 +53,8 @@
     pub lease_ms: u64,
     /// Interval at which a backend writes its entry.
     pub heartbeat_ms: u64,
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: usize,
 }
 
 impl Deployment {
@@ -84,6 +87,8 @@
     pub relay: Relay,
     /// Notified when there are updates to send to the other hosts.
     pub peer_updates: Notify,
+    /// Memory for bodies.
+    pub memory: Memory,
     /// Demand for the model engines, over all hosts.
     pub demand: RefCell<PoolDemand>,
     /// Requests and parts of prompts that crash the backends that run them.
@@ -113,8 +118,10 @@
         let own = HostId(hash_of(&deployment.name));
         let shutdown = Shutdown::new(deployment.grace_ms);
         let relay = Relay::new(&deployment.name, deployment.change_bound_ms());
+        let memory = Memory::new(deployment.memory_bytes);
         Self {
             deployment,
+            memory,
             relay,
             backends,
             directory: RefCell::default(),
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod hash;
 pub mod host;
 pub mod loads;
+pub mod memory;
 pub mod metrics;
 pub mod named_limits;
 pub mod peers;
--- a/crates/yucca-serve/src/plain.rs
+++ b/crates/yucca-serve/src/plain.rs
@@ -1,20 +1,22 @@
 //! Requests to plain services: a short response is read completely before it is forwarded.
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use http::response::Parts;
 use tokio::sync::mpsc;
 use tokio::time::{Duration, Instant, sleep, timeout_at};
 use yucca_io::log;
 use yuccacove::code::Code;
 use yuccacove::event::Event;
+use yuccacove::memory_budget::Purpose;
 
 use crate::choose;
 use crate::crashes::{self, Permission, TRIAL_POLL_MS};
 use crate::host::InFlight;
 use crate::loads::Reservation;
+use crate::memory::MemoryGuard;
 use crate::named_limits;
 use crate::ports::{BackendResponse, Backends, CallFault, ResponseBody};
-use crate::reply::{Interrupted, Reply};
+use crate::reply::{Interrupted, Reply, ReplyData};
 use crate::serve::{Progress, RequestContext, Stage};
 
 /// Maximum size of a response that is read completely before it is forwarded, so that the request
@@ -81,7 +83,8 @@
         {
             Ok(response) => {
                 named_limits::record_response(host, key, response.limit_per_s, sent_ms);
-                (Progress::Head, read_response(response).await)
+                let memory = host.memory.guard(Purpose::Response);
+                (Progress::Head, read_response(response, memory).await)
             }
             Err(fault) => (Progress::NoHead, Err(fault)),
         };
@@ -104,7 +107,7 @@
                 context.failed_backends.borrow_mut().push(key);
                 failed_reply = Some(reply);
             }
-            Ok(Outcome::TooLong(head, start, body)) => {
+            Ok(Outcome::Unbuffered(head, start, body)) => {
                 record_health(context, key, true);
                 return stream_rest(head, start, body, in_flight, context.deadline);
             }
@@ -130,15 +133,17 @@
 enum Outcome<B> {
     Complete {
         head: Parts,
-        body: Bytes,
+        body: ReplyData,
         is_framed: bool,
     },
-    /// Head, the bytes read so far, and the remaining body.
-    TooLong(Parts, Bytes, B),
+    /// The response is too long, or the host's memory is in use. Head, the bytes read so far, and the
+    /// remaining body.
+    Unbuffered(Parts, ReplyData, B),
 }
 
 async fn read_response<B: ResponseBody>(
     response: BackendResponse<B>,
+    mut memory: MemoryGuard,
 ) -> Result<Outcome<B>, CallFault> {
     let BackendResponse {
         head,
@@ -148,9 +153,12 @@
     } = response;
     let mut bytes = BytesMut::new();
     while let Some(chunk) = body.chunk().await {
-        bytes.extend_from_slice(&chunk.map_err(CallFault::Broken)?);
-        if bytes.len() > MAX_BUFFERED_BYTES {
-            return Ok(Outcome::TooLong(head, bytes.freeze(), body));
+        let chunk = chunk.map_err(CallFault::Broken)?;
+        let has_memory = memory.grow(chunk.len());
+        bytes.extend_from_slice(&chunk);
+        if !has_memory || bytes.len() > MAX_BUFFERED_BYTES {
+            let start = ReplyData::reserved(bytes.freeze(), memory);
+            return Ok(Outcome::Unbuffered(head, start, body));
         }
     }
     if !is_framed && bytes.is_empty() {
@@ -159,14 +167,14 @@
     }
     Ok(Outcome::Complete {
         head,
-        body: bytes.freeze(),
+        body: ReplyData::reserved(bytes.freeze(), memory),
         is_framed,
     })
 }
 
 fn stream_rest<B: Backends>(
     head: Parts,
-    start: Bytes,
+    start: ReplyData,
     mut body: B::Body,
     in_flight: InFlight<B>,
     deadline: Instant,
@@ -186,9 +194,10 @@
                 return;
             }
             // A body without end must not be forwarded beyond the deadline.
-            next = timeout_at(deadline, body.chunk())
+            let chunk = timeout_at(deadline, body.chunk())
                 .await
                 .unwrap_or_else(|_| Some(Err("deadline passed within the body".to_owned())));
+            next = chunk.map(|chunk| chunk.map(ReplyData::from));
         }
     });
     Reply::streamed(head, chunks)
--- a/crates/yucca-serve/src/reply.rs
+++ b/crates/yucca-serve/src/reply.rs
@@ -3,13 +3,15 @@
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
 use http::response::Parts;
 use http::{Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 use yuccacove::code::Code;
 
+use crate::memory::MemoryGuard;
+
 /// A reply with its head and a body that may still be arriving.
 #[derive(Debug)]
 pub struct Reply {
@@ -30,13 +32,13 @@
         let text = format!("{} {}: {}\n", code.number(), code.name(), code.title());
         Self {
             head: response.into_parts().0,
-            body: ReplyBody::Complete(Some(Bytes::from(text))),
+            body: ReplyBody::Complete(Some(Bytes::from(text).into())),
             retry_after_ms,
         }
     }
 
     /// Creates a reply whose body is complete.
-    pub fn complete(head: Parts, body: Bytes) -> Self {
+    pub fn complete(head: Parts, body: ReplyData) -> Self {
         Self {
             head,
             body: ReplyBody::Complete(Some(body)),
@@ -45,7 +47,7 @@
     }
 
     /// Creates a reply whose body arrives through `chunks`.
-    pub fn streamed(head: Parts, chunks: mpsc::Receiver<Result<Bytes, Interrupted>>) -> Self {
+    pub fn streamed(head: Parts, chunks: mpsc::Receiver<Result<ReplyData, Interrupted>>) -> Self {
         Self {
             head,
             body: ReplyBody::Streamed(chunks),
@@ -54,6 +56,62 @@
     }
 }
 
+/// Bytes of a body, with the memory that is reserved for them until they are sent.
+#[derive(Debug)]
+pub struct ReplyData {
+    bytes: Bytes,
+    _memory: Option<MemoryGuard>,
+}
+
+impl ReplyData {
+    /// Creates the bytes of a body for which memory is reserved.
+    pub fn reserved(bytes: Bytes, memory: MemoryGuard) -> Self {
+        Self {
+            bytes,
+            _memory: Some(memory),
+        }
+    }
+
+    /// Returns the number of bytes.
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Whether there are no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+}
+
+impl From<Bytes> for ReplyData {
+    fn from(bytes: Bytes) -> Self {
+        Self {
+            bytes,
+            _memory: None,
+        }
+    }
+}
+
+impl From<ReplyData> for Bytes {
+    fn from(data: ReplyData) -> Self {
+        data.bytes
+    }
+}
+
+impl Buf for ReplyData {
+    fn remaining(&self) -> usize {
+        self.bytes.remaining()
+    }
+
+    fn chunk(&self) -> &[u8] {
+        self.bytes.chunk()
+    }
+
+    fn advance(&mut self, count: usize) {
+        self.bytes.advance(count);
+    }
+}
+
 /// Error of a body that ended before it was complete. The connection to the caller must be closed,
 /// so that the caller does not take the body for complete.
 #[derive(Debug)]
@@ -71,19 +129,19 @@
 #[derive(Debug)]
 pub enum ReplyBody {
     /// Complete body; `None` once it has been read.
-    Complete(Option<Bytes>),
+    Complete(Option<ReplyData>),
     /// Body that arrives in chunks.
-    Streamed(mpsc::Receiver<Result<Bytes, Interrupted>>),
+    Streamed(mpsc::Receiver<Result<ReplyData, Interrupted>>),
 }
 
 impl Body for ReplyBody {
-    type Data = Bytes;
+    type Data = ReplyData;
     type Error = Interrupted;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Interrupted>>> {
+    ) -> Poll<Option<Result<Frame<ReplyData>, Interrupted>>> {
         match &mut *self {
             Self::Complete(bytes) => {
                 let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
@@ -102,7 +160,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Complete(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
+                SizeHint::with_exact(bytes.as_ref().map_or(0, ReplyData::len) as u64)
             }
             Self::Streamed(_) => SizeHint::default(),
         }
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -12,6 +12,7 @@
 use yuccacove::code::Code;
 use yuccacove::event::Event;
 use yuccacove::forecast::{Decision, Forecast};
+use yuccacove::memory_budget::Purpose;
 
 use crate::choose::{self, EngineChoice, PlacementInput};
 use crate::crashes::{self, Permission, TRIAL_POLL_MS};
@@ -23,11 +24,14 @@
 use crate::peers;
 use crate::plain::MAX_BUFFERED_BYTES;
 use crate::ports::{BackendResponse, Backends, CallFault, KvCacheHandle, ResponseBody};
-use crate::reply::{Interrupted, Reply};
+use crate::reply::{Interrupted, Reply, ReplyData};
 use crate::serve::{Progress, RequestContext, RunState, Stage};
 
 /// Capacity of the channel that carries the chunks of a response to the caller.
 const CHANNEL_CHUNKS: usize = 16;
+/// Size of events for which no memory is reserved. It is above that of ordinary ones, so that streams
+/// go on while the memory for bodies is in use.
+const UNCOUNTED_BYTES: usize = 4 * 1_024;
 /// Interval at which a held request is considered for admission again.
 const HOLD_INTERVAL: Duration = Duration::from_millis(25);
 /// Time that a prefill may take beyond [`PREFILL_TIMEOUT_FACTOR`] times its forecast before its
@@ -518,14 +522,15 @@
         .health
         .record_response(false);
     let mut bytes = Vec::new();
+    let mut memory = context.host.memory.guard(Purpose::Response);
     while let Some(chunk) = opened.response.body.chunk().await {
         let Ok(chunk) = chunk else {
             return context.refuse(Code::BackendFailed);
         };
-        bytes.extend_from_slice(&chunk);
-        if bytes.len() > MAX_BUFFERED_BYTES {
+        if !memory.grow(chunk.len()) || bytes.len() + chunk.len() > MAX_BUFFERED_BYTES {
             return context.refuse(Code::BackendFailed);
         }
+        bytes.extend_from_slice(&chunk);
     }
     let head = opened.response.head;
     log::write(
@@ -537,7 +542,7 @@
             context.elapsed_ms()
         ),
     );
-    Reply::complete(head, Bytes::from(bytes))
+    Reply::complete(head, ReplyData::reserved(Bytes::from(bytes), memory))
 }
 
 /// Times of a stream's events, in milliseconds since the request was received.
@@ -571,7 +576,7 @@
 async fn forward_stream<B: Backends>(
     context: &Rc<RequestContext<B>>,
     mut opened: OpenStream<B>,
-    caller: &mpsc::Sender<Result<Bytes, Interrupted>>,
+    caller: &mpsc::Sender<Result<ReplyData, Interrupted>>,
 ) {
     let mut events = EventBuffer::resumed(context.request.resume_after);
     let mut times = EventTimes::default();
@@ -640,7 +645,7 @@
 async fn resume<B: Backends>(
     context: &Rc<RequestContext<B>>,
     last_id: Option<u64>,
-    caller: &mpsc::Sender<Result<Bytes, Interrupted>>,
+    caller: &mpsc::Sender<Result<ReplyData, Interrupted>>,
 ) -> Option<OpenStream<B>> {
     tokio::select! {
         opened = open_stream(context, last_id) => {
@@ -657,8 +662,9 @@
     opened: &mut OpenStream<B>,
     events: &mut EventBuffer,
     times: &mut EventTimes,
-    caller: &mpsc::Sender<Result<Bytes, Interrupted>>,
+    caller: &mpsc::Sender<Result<ReplyData, Interrupted>>,
 ) -> StreamEnd {
+    let mut partial = context.host.memory.guard(Purpose::Response);
     loop {
         let chunk = tokio::select! {
             chunk = opened.response.body.chunk() => chunk,
@@ -675,7 +681,8 @@
             None => return StreamEnd::Broken("stream ended within an event".to_owned()),
         };
         let complete = events.push(&bytes);
-        if events.is_too_long() {
+        let counted_bytes = events.partial_bytes().saturating_sub(UNCOUNTED_BYTES);
+        if events.is_too_long() || !partial.resize(counted_bytes) {
             return StreamEnd::Broken("event exceeds the size limit".to_owned());
         }
         if complete.is_some() {
@@ -685,10 +692,34 @@
             }
             times.record(context.elapsed_ms());
         }
-        if let Some(complete) = complete
-            && caller.send(Ok(complete)).await.is_err()
-        {
-            return StreamEnd::CallerLeft;
+        if let Some(complete) = complete {
+            let sent = send_events(context, complete, caller).await;
+            if let Err(end) = sent {
+                return end;
+            }
         }
     }
 }
+
+/// Sends complete events to the caller. The error is the end of the attempt.
+async fn send_events<B: Backends>(
+    context: &RequestContext<B>,
+    events: Bytes,
+    caller: &mpsc::Sender<Result<ReplyData, Interrupted>>,
+) -> Result<(), StreamEnd> {
+    if events.len() <= UNCOUNTED_BYTES {
+        let sent = caller.send(Ok(events.into())).await;
+        return sent.map_err(|_| StreamEnd::CallerLeft);
+    }
+    // Large ones wait until the caller has taken all before them, so that few of them are held.
+    let mut memory = context.host.memory.guard(Purpose::Response);
+    if !memory.grow(events.len()) {
+        return Err(StreamEnd::Broken("memory for bodies is in use".to_owned()));
+    }
+    let permits = caller.reserve_many(CHANNEL_CHUNKS).await;
+    let mut permits = permits.map_err(|_| StreamEnd::CallerLeft)?;
+    if let Some(permit) = permits.next() {
+        permit.send(Ok(ReplyData::reserved(events, memory)));
+    }
+    Ok(())
+}
--- a/crates/yucca-serve/tests/common/mod.rs
+++ b/crates/yucca-serve/tests/common/mod.rs
@@ -506,6 +506,7 @@
         grace_ms: 8_000,
         lease_ms: 3_000,
         heartbeat_ms: 1_200,
+        memory_bytes: 260_000_000,
     }
 }
 
--- a/crates/yucca-serve/tests/serve.rs
+++ b/crates/yucca-serve/tests/serve.rs
@@ -53,7 +53,7 @@
 async fn next_chunk(body: &mut ReplyBody) -> Option<Result<Bytes, ()>> {
     let frame = poll_fn(|context| Pin::new(&mut *body).poll_frame(context)).await?;
     Some(match frame {
-        Ok(frame) => Ok(frame.into_data().unwrap_or_default()),
+        Ok(frame) => Ok(frame.into_data().map_or_else(|_| Bytes::new(), Bytes::from)),
         Err(_) => Err(()),
     })
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod lease;
 pub mod limits;
 pub mod membership;
+pub mod memory_budget;
 pub mod order;
 pub mod passive_health;
 pub mod phase_split;
--- /dev/null
+++ b/tests/memory_budget.rs
@@ -0,0 +1,35 @@
+//! Tests of the memory for bodies.
+
+use yuccacove::memory_budget::{
+    MemoryBudget,
+    Purpose::{Request, Response},
+};
+
+/// Guards against bodies that exceed the memory of a host together, and against requests that leave no
+/// room for the responses to them.
+#[test]
+fn try_reserve_within_capacity() {
+    let mut budget = MemoryBudget::new(1_600);
+    for (purpose, bytes, is_reserved, used_bytes) in [
+        (Request, 600, true, 600),
+        (Request, 101, false, 600),
+        (Request, 100, true, 700),
+        (Request, 1, false, 700),
+        (Response, 100, true, 800),
+        (Response, 1, false, 800),
+        (Response, usize::MAX, false, 800),
+        (Request, usize::MAX, false, 800),
+    ] {
+        assert_eq!(
+            budget.try_reserve(purpose, bytes),
+            is_reserved,
+            "{purpose:?} {bytes}"
+        );
+        assert_eq!(budget.used_bytes(), used_bytes, "{purpose:?} {bytes}");
+    }
+    budget.release(Request, 700);
+    assert!(budget.try_reserve(Response, 700));
+    assert!(!budget.try_reserve(Request, 1));
+    budget.release(Response, 800);
+    assert_eq!(budget.used_bytes(), 0);
+}
