Refuse late requests of a shutdown with the code for it

The refusals at the end of a graceful shutdown used the code of a host without a catalogue (2011), though 2008, "host_stopping", names the case. Found on reading the change again. Status and promise are the same; the tests of the shutdown pass.

--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -50,7 +50,7 @@
     };
     let context = Rc::new(RequestContext::new(host, request, &config, route, service));
     if !host.shutdown().accepts(context.left_ms(), host.now_ms()) {
-        return context.refuse(Code::NotReady);
+        return context.refuse(Code::HostStopping);
     }
     let run = async {
         match context.route.kind {
@@ -76,7 +76,7 @@
         () = context.host.until_refusal() => {}
     }
     if context.run_state() == RunState::NotRun {
-        return context.refuse(Code::NotReady);
+        return context.refuse(Code::HostStopping);
     }
     run.await
 }
--- a/src/code.rs
+++ b/src/code.rs
@@ -86,7 +86,7 @@
     HostStopping = 2008, "host_stopping", 503, NotRun, "The entry host is stopping.";
     HostIsolated = 2009, "host_isolated", 503, NotRun, "The entry host reaches neither the object API nor a peer.";
     SuspectRefused = 2010, "suspect_refused", 422, NotRun, "Requests with this content crashed engines and are refused.";
-    NotReady = 2011, "not_ready", 503, NotRun, "The entry host takes no requests: it has no catalogue yet, or its process is about to exit.";
+    NotReady = 2011, "not_ready", 503, NotRun, "The entry host has no catalogue yet.";
     BackendUnreachable = 2012, "backend_unreachable", 503, NotRun, "No connection to a back end could be opened.";
     AnswerIncomplete = 3001, "answer_incomplete", 502, Ran, "The back end stopped before the answer was whole.";
     BackendFailed = 3002, "backend_failed", 502, Ran, "The back end answered with an error.";
