Move prefills out of the module of streams

The prefill of a prompt, with its timeout, its load and the guard of its KV cache, is a module of its own now. Nothing else changes; the tests of yucca-serve pass.

--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod peers;
 pub mod plain;
 pub mod ports;
+mod prefill;
 pub mod relay;
 pub mod reply;
 pub mod request;
