Keep the first crash of a moment when a part has too many

A part keeps eight crashes. The one that made room could be the first of its moment, after which the moment seemed to begin later and could take in the next one, so that a cause was identified one crash later. Found on reading the change again; is_refused_crashes_at_close_moments fails before and passes.

--- a/src/crash_cause.rs
+++ b/src/crash_cause.rs
@@ -205,7 +205,8 @@
             let moments = self.moments();
             let moment = moments.iter().max_by_key(|moment| moment.crashes);
             let moment = moment.filter(|moment| moment.crashes > 1)?;
-            let positions = 0..self.blames.len();
+            // The first one is kept as long as possible: it tells where the moment begins.
+            let positions = (0..self.blames.len()).rev();
             positions
                 .filter(|at| {
                     let at_ms = self.blames[*at].at_ms;
--- a/tests/crash_cause.rs
+++ b/tests/crash_cause.rs
@@ -221,6 +221,20 @@
     assert!(causes.is_refused(&[DEADLY], 3_000));
 }
 
+/// Guards against a moment that seems to begin later, and takes in the next one, because its first
+/// crash has made room for another.
+#[test]
+fn is_refused_crashes_at_close_moments() {
+    let mut causes = CrashCauses::default();
+    let times_ms = [
+        1_000, 1_050, 1_080, 1_090, 1_120, 1_130, 1_500, 1_510, 1_520,
+    ];
+    for (crash, at_ms) in (0..).zip(times_ms) {
+        causes.record(CrashId(crash), Evidence::SameRequest, &[DEADLY], 0, at_ms);
+    }
+    assert!(causes.is_refused(&[DEADLY], 1_520));
+}
+
 /// Guards against hosts that disagree because one saw a request wait and the other saw its response
 /// begin, in the same crash.
 #[test]
