Decode organisations, engine scaling and the control API, and prove how recent the configuration is

Change: the configuration holds organisations with their keys, public routes and the limits for engine counts. A request with an unknown key gets 401 (1009). A host accepts keys only while it has proof that its configuration was the newest one within three quarters of revoke_ms, from the store or from another host's answer to its own question, else 503 (2013).

--- a/crates/yucca-emulator/src/caller.rs
+++ b/crates/yucca-emulator/src/caller.rs
@@ -157,6 +157,7 @@
         deadline_ms: Some(left_ms),
         prompt: (kind.class == Class::Stream).then_some(prompt),
         resume_after: None,
+        ..Request::default()
     }
 }
 
--- a/crates/yucca-emulator/src/simulation.rs
+++ b/crates/yucca-emulator/src/simulation.rs
@@ -179,6 +179,9 @@
         lease_ms: 3_000,
         heartbeat_ms: 1_200,
         memory_bytes: 260_000_000,
+        revoke_ms: None,
+        usage: None,
+        duty_per_s: 50.0,
     };
     let name = deployment.name.clone();
     let host = Rc::new(Host::new(deployment, pool.clone(), hash_of((seed, number))));
@@ -265,6 +268,7 @@
             weight: 1,
         }],
         max_attempts: 2,
+        is_public: false,
     });
     let engine = EngineSpec {
         slots: scenario.capacity.slots,
@@ -282,6 +286,7 @@
             let service = Service {
                 max_connections: 500,
                 engine,
+                scaling: None,
             };
             (name.to_owned(), service)
         })),
--- a/crates/yucca-emulator/src/store.rs
+++ b/crates/yucca-emulator/src/store.rs
@@ -8,7 +8,7 @@
 use tokio::time::{Duration, sleep};
 use yucca_serve::config::ServingConfig;
 use yucca_serve::directory::BackendEntry;
-use yucca_serve::ports::{Freshness, Kind, Object, ObjectStore, Objects, StoreFault};
+use yucca_serve::ports::{ConfigFault, Freshness, Kind, Object, ObjectStore, Objects, StoreFault};
 use yucca_serve::revision::{era_of, number_of, revision};
 use yuccacove::prompt_placement::Phase;
 
@@ -288,12 +288,17 @@
                 Phase::Decode
             },
             started_ms: value["started"].as_u64().unwrap_or(0),
+            is_spot: false,
+            leaves_ms: None,
         })
     }
 
-    fn config(&self, object: &Object) -> Option<ServingConfig> {
-        Some(ServingConfig {
-            version: object.value.as_ref()?["version"].as_u64()?,
+    fn config(&self, object: &Object) -> Result<ServingConfig, ConfigFault> {
+        let version = object.value.as_ref().and_then(|v| v["version"].as_u64());
+        let version =
+            version.ok_or_else(|| ConfigFault::Malformed("version is missing".to_owned()))?;
+        Ok(ServingConfig {
+            version,
             ..ServingConfig::default()
         })
     }
--- a/crates/yucca-serve/src/config.rs
+++ b/crates/yucca-serve/src/config.rs
@@ -2,6 +2,8 @@
 
 use indexmap::IndexMap;
 
+use crate::organisations::Organisations;
+
 /// A complete configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct ServingConfig {
@@ -13,6 +15,8 @@
     pub services: IndexMap<String, Service>,
     /// Limits on what a caller may send.
     pub limits: CallerLimits,
+    /// Organisations that may send requests; without any, requests need no API key.
+    pub organisations: Organisations,
 }
 
 impl ServingConfig {
@@ -84,6 +88,8 @@
     pub services: Vec<WeightedService>,
     /// Maximum number of attempts for one request.
     pub max_attempts: u32,
+    /// Whether requests need no API key.
+    pub is_public: bool,
 }
 
 /// A service of a route with its weight in the traffic split.
@@ -119,6 +125,23 @@
     pub max_connections: u32,
     /// Specification of the engines if this is a model service; `None` for a plain service.
     pub engine: Option<EngineSpec>,
+    /// How many engines the host may order; `None` if their number is not the system's to choose.
+    pub scaling: Option<ScalingSpec>,
+}
+
+/// Limits and prices for the number of engines of a service.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ScalingSpec {
+    /// Minimum number of engines of an availability zone, of both kinds together.
+    pub min_engines: u32,
+    /// Maximum number of engines of an availability zone, of both kinds together.
+    pub max_engines: u32,
+    /// Time from an order until the new engines serve.
+    pub boot_ms: u64,
+    /// Price of a spot engine as a fraction of that of an ordinary one.
+    pub spot_price: f64,
+    /// Price of an ordinary engine for a second, by availability zone.
+    pub zone_prices: IndexMap<String, f64>,
 }
 
 /// Properties that all engines of a service share.
--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -46,6 +46,10 @@
     pub is_draining: bool,
     /// Phase of a model engine; a plain server counts as [`Phase::Decode`].
     pub phase: Phase,
+    /// Whether the engine is a spot engine, which the platform may take back at short notice.
+    pub is_spot: bool,
+    /// Time until a draining engine ends, if it is known.
+    pub leaves_ms: Option<u64>,
     /// Start time of the incarnation, in milliseconds of its own wall clock. It distinguishes
     /// incarnations.
     pub started_ms: u64,
--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -10,9 +10,11 @@
 use yucca_io::log;
 use yuccacove::event::Event;
 
+use crate::boot_clock::BootClock;
 use crate::directory::Change;
 use crate::host::Host;
 use crate::ports::{Freshness, Kind, Object, ObjectStore, Objects, StoreFault};
+use crate::recency::ConfigRecency;
 use crate::relay::Relay;
 use crate::revision::{era_of, number_of};
 
@@ -161,8 +163,11 @@
         let latest = objects.objects.iter().filter(|object| !object.is_removed);
         for object in latest {
             match store.config(object) {
-                Some(config) => host.update_config(config, object),
-                None => log::write(Event::CatalogueInvalid, &format!("name={}", object.name)),
+                Ok(config) => host.update_config(config, object),
+                Err(fault) => log::write(
+                    Event::CatalogueInvalid,
+                    &format!("name={} cause={fault}", object.name),
+                ),
             }
         }
         host.record_config_revision(objects.revision);
@@ -173,6 +178,10 @@
         relay: &host.relay,
         kind: Kind::Config,
         bound_ms: host.deployment.change_bound_ms(),
+        proofs: host.recency.as_ref().map(|recency| Proofs {
+            recency,
+            clock: &host.clock,
+        }),
     };
     follower.run(apply, |_| {}).await;
 }
@@ -201,6 +210,7 @@
         relay: &host.relay,
         kind: Kind::BackEnds,
         bound_ms: host.deployment.change_bound_ms(),
+        proofs: None,
     };
     follower.run(apply, record_result).await;
 }
@@ -351,6 +361,31 @@
     pub kind: Kind,
     /// Time within which a change must be applied.
     pub bound_ms: u64,
+    /// What records how recent the objects are known to be, if that matters.
+    pub proofs: Option<Proofs<'a>>,
+}
+
+/// Records proofs that the active configuration is the newest one.
+#[derive(Debug, Clone, Copy)]
+pub struct Proofs<'a> {
+    /// State that the proofs go into.
+    pub recency: &'a ConfigRecency,
+    /// Clock of the proofs.
+    pub clock: &'a BootClock,
+}
+
+impl Proofs<'_> {
+    /// Records the result of a call that began at `started_ms`. A watch that ended without changes waited
+    /// for `wait_ms` before, unless it ended early.
+    fn record(&self, started_ms: u64, wait_ms: Option<u64>, objects: &Objects) {
+        let waited_ms = match wait_ms {
+            Some(wait_ms) if objects.objects.is_empty() => {
+                wait_ms.min(self.clock.now_ms().saturating_sub(started_ms))
+            }
+            _ => 0,
+        };
+        self.recency.record_store_proof(started_ms + waited_ms);
+    }
 }
 
 impl<S: ObjectStore> Follower<'_, S> {
@@ -377,9 +412,11 @@
                 continue;
             }
             let is_listing = known.is_none() || is_expired;
+            let wait_ms = self.wait_ms();
+            let started_ms = self.proofs.map_or(0, |proofs| proofs.clock.now_ms());
             let result = match &known {
                 Some(known) if !is_expired => tokio::select! {
-                    result = self.watch(known.revision) => result,
+                    result = self.watch(known.revision, wait_ms) => result,
                     // The sender lives as long as `store_health`.
                     _ = transitions.changed() => {
                         self.relay.pause(self.kind);
@@ -396,6 +433,10 @@
                     failures = 0;
                     record_result(true);
                     apply(&objects, is_listing);
+                    if let Some(proofs) = self.proofs {
+                        let wait_ms = (!is_listing).then_some(wait_ms);
+                        proofs.record(started_ms, wait_ms, &objects);
+                    }
                     self.announce(known.as_ref(), &objects, is_listing);
                     match &mut known {
                         Some(known) if !is_listing => known.apply(&objects),
@@ -480,9 +521,8 @@
         }
     }
 
-    /// Watches for changes after `revision`.
-    async fn watch(&self, revision: u64) -> Result<Objects, StoreFault> {
-        let wait_ms = self.wait_ms();
+    /// Watches for changes after `revision` for `wait_ms`.
+    async fn watch(&self, revision: u64, wait_ms: u64) -> Result<Objects, StoreFault> {
         let mut response = pin!(self.store.watch(self.kind, revision, wait_ms));
         let established = Duration::from_millis(WATCH_ESTABLISHED_MS);
         if let Ok(result) = timeout(established, response.as_mut()).await {
@@ -493,17 +533,23 @@
     }
 
     fn wait_ms(&self) -> u64 {
-        match self.kind {
+        let wait_ms = match self.kind {
             Kind::Config | Kind::BackEnds => (self.bound_ms as f64 * WATCH_SHARE) as u64,
-            Kind::Hosts | Kind::Leases => SLOW_WATCH_MS,
-        }
+            Kind::Hosts | Kind::Leases | Kind::Usage => SLOW_WATCH_MS,
+        };
+        self.proofs.map_or(wait_ms, |proofs| {
+            proofs.recency.watch_wait_ms(wait_ms, proofs.clock)
+        })
     }
 
     fn batch_pause(&self) -> Duration {
         let ms = match self.kind {
             Kind::Config | Kind::BackEnds => (self.bound_ms as f64 * BATCH_SHARE) as u64,
-            Kind::Hosts | Kind::Leases => SLOW_BATCH_MS,
+            Kind::Hosts | Kind::Leases | Kind::Usage => SLOW_BATCH_MS,
         };
+        let ms = self
+            .proofs
+            .map_or(ms, |proofs| proofs.recency.batch_pause_ms(ms));
         Duration::from_millis(ms)
     }
 }
--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -14,6 +14,7 @@
 use yuccacove::retry::Budget;
 use yuccacove::shutdown::Shutdown;
 
+use crate::boot_clock::BootClock;
 use crate::config::ServingConfig;
 use crate::config_order::ConfigOrder;
 use crate::directory::{BackendKey, Directory};
@@ -23,6 +24,7 @@
 use crate::metrics::Metrics;
 use crate::peers::{Peers, PrefillAnnouncement};
 use crate::ports::{Backends, NoticeContent, Object, Target};
+use crate::recency::{ConfigId, ConfigRecency};
 use crate::relay::Relay;
 
 /// Fraction of the allowed retries that hosts use. The rest is a margin, because hosts count their
@@ -55,6 +57,21 @@
     pub heartbeat_ms: u64,
     /// Memory that the process may use, in bytes.
     pub memory_bytes: usize,
+    /// Time for which a withdrawn API key may still be accepted; `None` if it is not limited.
+    pub revoke_ms: Option<u64>,
+    /// Reports of usage; `None` if none are due.
+    pub usage: Option<UsageTiming>,
+    /// Calls a second that the control API accepts from all hosts together.
+    pub duty_per_s: f64,
+}
+
+/// When usage is reported.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UsageTiming {
+    /// Length of a time window.
+    pub window_ms: u64,
+    /// Time from the end of a window until its report is due.
+    pub due_ms: u64,
 }
 
 impl Deployment {
@@ -99,6 +116,11 @@
     pub rates: RefCell<FleetRates>,
     /// Metrics of this host.
     pub metrics: Metrics,
+    /// Clock for proofs, which also advances while the host is suspended.
+    pub clock: BootClock,
+    /// Recency of the configuration; `None` if the time for which a withdrawn API key is accepted is not
+    /// limited.
+    pub recency: Option<ConfigRecency>,
     config: RefCell<Option<Rc<ServingConfig>>>,
     config_order: RefCell<ConfigOrder>,
     retry_budgets: RefCell<IndexMap<String, Budget>>,
@@ -119,6 +141,7 @@
         let shutdown = Shutdown::new(deployment.grace_ms);
         let relay = Relay::new(&deployment.name, deployment.change_bound_ms());
         let memory = Memory::new(deployment.memory_bytes);
+        let recency = deployment.revoke_ms.map(ConfigRecency::new);
         Self {
             deployment,
             memory,
@@ -132,6 +155,8 @@
             trials: RefCell::default(),
             rates: RefCell::new(FleetRates::new(own, draw_seed as u32)),
             metrics: Metrics::default(),
+            clock: BootClock::default(),
+            recency,
             config: RefCell::default(),
             config_order: RefCell::default(),
             retry_budgets: RefCell::default(),
@@ -144,6 +169,12 @@
         }
     }
 
+    /// Replaces the clock for proofs.
+    #[must_use]
+    pub fn with_clock(self, clock: BootClock) -> Self {
+        Self { clock, ..self }
+    }
+
     /// Returns the milliseconds since the host was created, on the monotonic clock.
     pub fn now_ms(&self) -> u64 {
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
@@ -179,6 +210,12 @@
         let mut order = self.config_order.borrow_mut();
         let content = object.content_hash();
         if order.is_newer(config.version, object.revision, content, active) {
+            if let Some(recency) = &self.recency {
+                recency.record_config(ConfigId {
+                    revision: object.revision,
+                    version: config.version,
+                });
+            }
             self.activate(config);
         } else if active != Some(config.version) {
             let fields = format!("version={} revision={}", config.version, object.revision);
@@ -191,11 +228,20 @@
         self.config_order.borrow_mut().record(revision);
     }
 
-    /// Whether the host can serve: it has a configuration and a full listing of the backends, and
-    /// is not stopping.
+    /// Whether the host can serve: it has a configuration and a full listing of the backends, can check
+    /// API keys, and is not stopping.
     pub fn is_ready(&self) -> bool {
-        let has_config = self.config.borrow().is_some();
-        has_config && self.directory.borrow().has_full_listing() && !self.is_stopping()
+        let config = self.config.borrow();
+        let checks_keys = config
+            .as_ref()
+            .is_some_and(|config| config.organisations.is_empty() || self.may_accept_keys());
+        checks_keys && self.directory.borrow().has_full_listing() && !self.is_stopping()
+    }
+
+    /// Whether the configuration is known to be recent enough to accept API keys.
+    pub fn may_accept_keys(&self) -> bool {
+        let recency = self.recency.as_ref();
+        recency.is_none_or(|recency| recency.is_proven(&self.clock))
     }
 
     /// Starts a graceful shutdown.
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -22,6 +22,8 @@
 //! assert_eq!(found.path_prefix, "/orders/status/");
 //! ```
 
+mod authentication;
+pub mod boot_clock;
 pub mod caller_body;
 pub mod choose;
 pub mod config;
@@ -36,10 +38,12 @@
 pub mod memory;
 pub mod metrics;
 pub mod named_limits;
+pub mod organisations;
 pub mod peers;
 pub mod plain;
 pub mod ports;
 mod prefill;
+pub mod recency;
 pub mod relay;
 pub mod reply;
 pub mod request;
--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -26,6 +26,7 @@
 use crate::hash::hash_of;
 use crate::host::Host;
 use crate::ports::{Kind, Object, ObjectStore, Objects, StoreFault};
+use crate::recency::{Answer, Question};
 use crate::relay::{ChangeRequest, StoreUpdate};
 
 /// Interval in which updates are collected before they are sent.
@@ -102,6 +103,10 @@
         sender: HostId,
         message: Message,
     },
+    /// Question for how recent a host's configuration is known to be.
+    RecencyQuestion(Question),
+    /// Answer to such a question.
+    RecencyAnswer(Answer),
 }
 
 /// Load update: the sender's part of the engines' work.
@@ -248,13 +253,15 @@
     }
     let crashes = crash_updates(host, is_sample_due);
     let rates = rate_updates(host, is_sample_due);
+    let recency = recency_messages(host);
     let all = other_zones
         .into_iter()
         .chain(load)
         .chain(store)
         .chain(to_one)
         .chain(crashes)
-        .chain(rates);
+        .chain(rates)
+        .chain(recency);
     all.filter_map(|(to, datagram)| {
         let bytes = bincode::serde::encode_to_vec(datagram, bincode::config::standard());
         Some(Outgoing {
@@ -333,6 +340,34 @@
     updates
 }
 
+/// Returns the questions and answers on how recent the configuration is. The relays have the most recent
+/// proof; if theirs does not suffice, a few other hosts may reach the store.
+fn recency_messages<B>(host: &Host<B>) -> Vec<(Vec<SocketAddr>, Datagram)> {
+    let Some(recency) = &host.recency else {
+        return Vec::new();
+    };
+    let hosts = host.peers.hosts.borrow();
+    let address_of = |id: HostId| {
+        let peer = hosts.values().find(|peer| peer.id == id);
+        peer.map(|peer| peer.address)
+    };
+    let answers = recency.take_answers().into_iter();
+    let mut messages: Vec<_> = answers
+        .filter_map(|(id, answer)| Some((vec![address_of(id)?], Datagram::RecencyAnswer(answer))))
+        .collect();
+    let sender = HostId(hash_of(&host.deployment.name));
+    if let Some(question) = recency.next_question(sender, &host.clock) {
+        let relays = host.relay.fresh_relays().into_iter();
+        let mut to: Vec<_> = relays.filter_map(|rank| address_of(HostId(rank))).collect();
+        if to.is_empty() || recency.is_urgent(&host.clock) {
+            let all: Vec<_> = hosts.values().map(|peer| peer.address).collect();
+            to.extend(sample_recipients(host, &all));
+        }
+        messages.push((to, Datagram::RecencyQuestion(question)));
+    }
+    messages
+}
+
 /// Draws [`SAMPLE_RECIPIENTS`] of the addresses.
 fn sample_recipients<B>(host: &Host<B>, all: &[SocketAddr]) -> Vec<SocketAddr> {
     let mut remaining = all.to_vec();
@@ -450,6 +485,17 @@
             rates.receive(sender, &message, host.now_ms());
             host.peer_updates.notify_one();
         }
+        Ok((Datagram::RecencyQuestion(question), _)) => {
+            if let Some(recency) = &host.recency {
+                recency.receive_question(question, &host.clock);
+                host.peer_updates.notify_one();
+            }
+        }
+        Ok((Datagram::RecencyAnswer(answer), _)) => {
+            if let Some(recency) = &host.recency {
+                recency.receive_answer(answer);
+            }
+        }
         Err(_) => {}
     }
 }
@@ -587,6 +633,7 @@
         relay: &host.relay,
         kind: Kind::Hosts,
         bound_ms: host.deployment.change_bound_ms(),
+        proofs: None,
     };
     follower.run(apply, |_| {}).await;
 }
--- a/crates/yucca-serve/src/ports.rs
+++ b/crates/yucca-serve/src/ports.rs
@@ -1,10 +1,12 @@
 //! Interfaces to the outside of the process: clients of the object store and of the backends.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use http::response::Parts;
+use indexmap::IndexMap;
 use prometheus_client::encoding::EncodeLabelValue;
 use serde_json::Value;
 use tokio::time::Instant;
@@ -13,6 +15,7 @@
 use crate::config::ServingConfig;
 use crate::directory::BackendEntry;
 use crate::hash::hash_of;
+use crate::organisations::SharedKey;
 use crate::request::Request;
 
 /// Kinds of store objects that a host uses.
@@ -27,6 +30,8 @@
     /// Leases. They are a separate kind, because as objects of the kind `Hosts` each renewal would
     /// end the watches of all hosts on that kind.
     Leases,
+    /// Reports of usage that may not have arrived yet.
+    Usage,
 }
 
 /// How recent the result of a read must be.
@@ -98,6 +103,24 @@
     NoAnswer(String),
 }
 
+/// Why a configuration cannot be used.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ConfigFault {
+    /// It cannot be decoded.
+    Malformed(String),
+    /// Two organisations have the same API key.
+    SharedKey(SharedKey),
+}
+
+impl fmt::Display for ConfigFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Malformed(cause) => f.write_str(cause),
+            Self::SharedKey(fault) => fault.fmt(f),
+        }
+    }
+}
+
 /// Client of the platform's object store.
 #[expect(async_fn_in_trait, reason = "all users run on the host's one thread")]
 pub trait ObjectStore {
@@ -136,8 +159,12 @@
     /// Decodes the entry of a backend; `None` if it is invalid.
     fn backend(&self, object: &Object) -> Option<BackendEntry>;
 
-    /// Decodes a configuration; `None` if it is invalid.
-    fn config(&self, object: &Object) -> Option<ServingConfig>;
+    /// Decodes a configuration.
+    ///
+    /// # Errors
+    ///
+    /// If it is malformed or inconsistent.
+    fn config(&self, object: &Object) -> Result<ServingConfig, ConfigFault>;
 }
 
 /// A backend to call. The backend compares the id with its own, because the address may have been
@@ -333,3 +360,71 @@
     /// Closes the idle connections to a backend.
     fn close_idle(&self, to: &Target);
 }
+
+/// Authority under which a host calls the control API.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DutyHolder {
+    /// Name of the host.
+    pub host: String,
+    /// Fencing token: the epoch of the lease.
+    pub fence: u64,
+}
+
+/// Requests of each organisation that began to run in one time window.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UsageReport {
+    /// Number of the window.
+    pub window: u64,
+    /// Number of requests by the name of the organisation.
+    pub counts: IndexMap<String, u64>,
+}
+
+/// Order for a number of engines.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ScaleOrder {
+    /// Name of the service.
+    pub service: String,
+    /// Availability zone of the engines.
+    pub zone: String,
+    /// Whether the order is for spot engines; otherwise for ordinary ones.
+    pub is_spot: bool,
+    /// Number of engines of this kind.
+    pub engines: u32,
+}
+
+/// Reply of the control API.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DutyReply {
+    /// The call was carried out.
+    Done,
+    /// A higher fencing token was seen, or no engines are to be had at present.
+    Conflict,
+    /// The call was refused with this status for another reason, such as too many calls.
+    Refused(u16),
+}
+
+/// Client of the platform's control API.
+#[expect(async_fn_in_trait, reason = "all users run on the host's one thread")]
+pub trait ControlApi {
+    /// Reports the usage of a window.
+    ///
+    /// # Errors
+    ///
+    /// If no response arrived. The call may be carried out later, unless it was not sent.
+    async fn report_usage(
+        &self,
+        holder: &DutyHolder,
+        report: &UsageReport,
+    ) -> Result<DutyReply, CallFault>;
+
+    /// Orders a number of engines.
+    ///
+    /// # Errors
+    ///
+    /// As for [`ControlApi::report_usage`].
+    async fn order_engines(
+        &self,
+        holder: &DutyHolder,
+        order: &ScaleOrder,
+    ) -> Result<DutyReply, CallFault>;
+}
--- a/crates/yucca-serve/src/relay.rs
+++ b/crates/yucca-serve/src/relay.rs
@@ -208,6 +208,11 @@
             || !self.requests.borrow().is_empty()
     }
 
+    /// Returns the ranks of the relays that this host relies on: the hashes of their names.
+    pub(crate) fn fresh_relays(&self) -> Vec<u64> {
+        self.relays.borrow().fresh_ranks(self.now_ms())
+    }
+
     /// Returns the number of received datagrams with changes that are not yet applied.
     pub fn queued_batches(&self) -> usize {
         self.inbox.borrow().iter().map(VecDeque::len).sum()
@@ -568,7 +573,7 @@
         Kind::Config => Some(0),
         Kind::BackEnds => Some(1),
         Kind::Hosts => Some(2),
-        Kind::Leases => None,
+        Kind::Leases | Kind::Usage => None,
     }
 }
 
--- a/crates/yucca-serve/src/request.rs
+++ b/crates/yucca-serve/src/request.rs
@@ -1,8 +1,11 @@
 //! A caller's request in decoded form.
 
+use std::rc::Rc;
+
 use http::{HeaderMap, Method};
 
 use crate::caller_body::CallerBody;
+use crate::organisations::ApiKey;
 
 /// A request with its complete body.
 #[derive(Debug, Clone, Default)]
@@ -26,6 +29,11 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event that the caller has received; set when it resumes a stream.
     pub resume_after: Option<u64>,
+    /// API key that the caller sent; `None` if it sent none or several.
+    pub api_key: Option<ApiKey>,
+    /// Name of the organisation of the API key, which the back end receives; `None` until the key was
+    /// checked, and if no key is needed.
+    pub organisation: Option<Rc<str>>,
 }
 
 impl Request {
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -13,6 +13,7 @@
 use yuccacove::event::Event;
 use yuccacove::fleet_rate::Permission;
 
+use crate::authentication::authenticate;
 use crate::config::{EngineSpec, Route, RouteKind, ServingConfig};
 use crate::crashes;
 use crate::directory::BackendKey;
@@ -37,7 +38,7 @@
 const MAX_CONNECTION_FAILURES: u32 = 3;
 
 /// Serves a request and returns the reply, whose body may still be arriving.
-pub async fn serve<B: Backends>(host: &Rc<Host<B>>, request: Request) -> Reply {
+pub async fn serve<B: Backends>(host: &Rc<Host<B>>, mut request: Request) -> Reply {
     host.metrics.requests.inc();
     let Some(config) = host.config() else {
         return refuse(host, &request.id, Code::NotReady, Some(RETRY_AFTER_MS));
@@ -45,10 +46,21 @@
     let Some(route) = config.route(&request.host, request.path()) else {
         return refuse(host, &request.id, Code::UnknownEntry, None);
     };
+    let urgency = match authenticate(host, &config, route, &mut request) {
+        Ok(urgency) => urgency,
+        Err(code) => {
+            let retry_after_ms = (code == Code::KeysUnproven).then_some(RETRY_AFTER_MS);
+            return refuse(host, &request.id, code, retry_after_ms);
+        }
+    };
     let Some(service) = route.service(hash_of(&request.id)) else {
         return refuse(host, &request.id, Code::NoBackend, Some(RETRY_AFTER_MS));
     };
-    let context = Rc::new(RequestContext::new(host, request, &config, route, service));
+    let route = Route {
+        urgency,
+        ..route.clone()
+    };
+    let context = Rc::new(RequestContext::new(host, request, &config, &route, service));
     if !host.shutdown().accepts(context.left_ms(), host.now_ms()) {
         return context.refuse(Code::HostStopping);
     }
--- a/crates/yucca-serve/src/store_calls.rs
+++ b/crates/yucca-serve/src/store_calls.rs
@@ -18,7 +18,7 @@
 
 use crate::config::ServingConfig;
 use crate::directory::BackendEntry;
-use crate::ports::{Freshness, Kind, Object, ObjectStore, Objects, StoreFault};
+use crate::ports::{ConfigFault, Freshness, Kind, Object, ObjectStore, Objects, StoreFault};
 
 /// Interval at which the calls since the last line are logged.
 const REPORT_INTERVAL: Duration = Duration::from_secs(10);
@@ -207,7 +207,7 @@
         self.store.backend(object)
     }
 
-    fn config(&self, object: &Object) -> Option<ServingConfig> {
+    fn config(&self, object: &Object) -> Result<ServingConfig, ConfigFault> {
         self.store.config(object)
     }
 }
--- a/crates/yucca-serve/tests/common/mod.rs
+++ b/crates/yucca-serve/tests/common/mod.rs
@@ -507,6 +507,9 @@
         lease_ms: 3_000,
         heartbeat_ms: 1_200,
         memory_bytes: 260_000_000,
+        revoke_ms: None,
+        usage: None,
+        duty_per_s: 50.0,
     }
 }
 
@@ -524,6 +527,8 @@
         is_draining: false,
         phase,
         started_ms: 1,
+        is_spot: false,
+        leaves_ms: None,
     }
 }
 
@@ -547,6 +552,7 @@
             weight: 1,
         }],
         max_attempts,
+        is_public: false,
     }
 }
 
@@ -572,6 +578,7 @@
     let model = Service {
         max_connections: 100,
         engine: Some(engine),
+        scaling: None,
     };
     config.services.insert("model".to_owned(), model);
     host.set_config(config);
--- a/crates/yucca-serve/tests/relay.rs
+++ b/crates/yucca-serve/tests/relay.rs
@@ -15,7 +15,7 @@
 use yucca_serve::follow::{follow_backends, follow_config, probe_store};
 use yucca_serve::hash::hash_of;
 use yucca_serve::host::{Deployment, Host};
-use yucca_serve::ports::{Freshness, Kind, Object, ObjectStore, Objects, StoreFault};
+use yucca_serve::ports::{ConfigFault, Freshness, Kind, Object, ObjectStore, Objects, StoreFault};
 use yucca_serve::relay::StoreUpdate;
 
 /// Time within which changes of backends and of the configuration must be applied.
@@ -97,7 +97,7 @@
         self.store.backend(object)
     }
 
-    fn config(&self, object: &Object) -> Option<ServingConfig> {
+    fn config(&self, object: &Object) -> Result<ServingConfig, ConfigFault> {
         self.store.config(object)
     }
 }
--- a/crates/yucca-serve/tests/roles.rs
+++ b/crates/yucca-serve/tests/roles.rs
@@ -32,6 +32,7 @@
     let service = Service {
         max_connections: 100,
         engine,
+        scaling: None,
     };
     config.services.insert("model".to_owned(), service);
     config
--- a/src/code.rs
+++ b/src/code.rs
@@ -76,6 +76,7 @@
     KeyReused = 1006, "key_reused", 422, NotRun, "The idempotency key was used before with another request.";
     KeyExpired = 1007, "key_expired", 422, Unknown, "The idempotency key was issued longer ago than claims are kept; an earlier request with it may have run.";
     BodyTimeout = 1008, "body_timeout", 408, NotRun, "The request body made no progress in time.";
+    UnknownKey = 1009, "unknown_key", 401, NotRun, "The request lacks an API key, or has one that no organisation has.";
     RateLimited = 2001, "rate_limited", 429, NotRun, "The entry's request rate is used up.";
     ConcurrencyLimited = 2002, "concurrency_limited", 429, NotRun, "The entry's concurrent requests are used up.";
     TokensLimited = 2003, "tokens_limited", 429, NotRun, "The entry's token rate is used up.";
@@ -88,6 +89,7 @@
     SuspectRefused = 2010, "suspect_refused", 422, NotRun, "Requests with this content crashed engines and are refused.";
     NotReady = 2011, "not_ready", 503, NotRun, "The entry host has no catalogue yet.";
     BackendUnreachable = 2012, "backend_unreachable", 503, NotRun, "No connection to a back end could be opened.";
+    KeysUnproven = 2013, "keys_unproven", 503, NotRun, "The entry host does not know whether its configuration is recent enough to accept API keys.";
     AnswerIncomplete = 3001, "answer_incomplete", 502, Ran, "The back end stopped before the answer was whole.";
     BackendFailed = 3002, "backend_failed", 502, Ran, "The back end answered with an error.";
     OutcomeUnknown = 3003, "outcome_unknown", 504, Unknown, "The request was sent, and its outcome is unknown.";
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod prefix;
 pub mod prompt_placement;
 pub mod rank;
+pub mod recency;
 pub mod response_check;
 pub mod retry;
 pub mod roles;
--- a/src/watch_relay.rs
+++ b/src/watch_relay.rs
@@ -137,6 +137,13 @@
         others.filter(|relay| relay.fresh_until_ms > now_ms).count()
     }
 
+    /// Returns the ranks of the other relays that are fresh.
+    pub fn fresh_ranks(&self, now_ms: u64) -> Vec<u64> {
+        let others = self.others.iter();
+        let fresh = others.filter(|(_, relay)| relay.fresh_until_ms > now_ms);
+        fresh.map(|(rank, _)| *rank).collect()
+    }
+
     /// Returns the ranks of the fresh relays that have sent changes of kind `kind` after `revision`.
     pub fn ahead(&self, kind: usize, revision: u64, now_ms: u64) -> Vec<u64> {
         let is_ahead = |relay: &RelayState<N>| {
