Emulate organisations, prompts of different sizes and wrong length hints

The scenarios are the loads that the decision for overload is to be compared on. Loads of scenarios without these keys are unchanged.

--- a/crates/yucca-emulator/src/bin/yucca-emulate.rs
+++ b/crates/yucca-emulator/src/bin/yucca-emulate.rs
@@ -111,6 +111,10 @@
             total.engine_summary()
         );
         println!("{}\n", report::table(&scenario, &summaries));
+        if !scenario.organisations.is_empty() || scenario.kinds.iter().any(|k| k.large_share > 0.0)
+        {
+            println!("{}\n", report::fairness_table(&scenario, &total));
+        }
     }
     Ok(())
 }
--- a/crates/yucca-emulator/src/caller.rs
+++ b/crates/yucca-emulator/src/caller.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method};
 use tokio::time::{Duration, Instant, sleep, timeout};
+use yucca_serve::organisations::ApiKey;
 use yucca_serve::reply::{Reply, ReplyBody};
 use yucca_serve::request::{Prompt, PromptPart, Request};
 
@@ -34,6 +35,10 @@
 pub struct RequestResult {
     /// Index of its kind in the scenario.
     pub kind: usize,
+    /// Index of its organisation in the scenario; `None` if it has none.
+    pub organisation: Option<usize>,
+    /// Length of its prompt in tokens.
+    pub prompt_tokens: u32,
     /// Arrival time, in milliseconds since the start of the traffic.
     pub at_ms: f64,
     /// Final outcome.
@@ -60,6 +65,8 @@
     let started = Instant::now();
     let result = |outcome, first_ms, tries| RequestResult {
         kind: arrival.kind,
+        organisation: arrival.organisation,
+        prompt_tokens: kind.shared_tokens + arrival.own_tokens,
         at_ms: arrival.at_ms,
         outcome,
         first_ms,
@@ -134,13 +141,13 @@
 fn request(kind: &RequestKind, arrival: &Arrival, id: String, left_ms: u64) -> Request {
     let parts = [
         (arrival.shared_prefix, kind.shared_tokens),
-        (arrival.own_suffix, kind.own_tokens),
+        (arrival.own_suffix, arrival.own_tokens),
     ];
     let parts = parts.into_iter().filter(|(_, tokens)| *tokens > 0);
     let prompt = Prompt {
         model: "model".to_owned(),
-        tokens: kind.shared_tokens + kind.own_tokens,
-        max_output_tokens: kind.output_tokens,
+        tokens: kind.shared_tokens + arrival.own_tokens,
+        max_output_tokens: kind.output_tokens + kind.hint_excess_tokens,
         parts: parts
             .map(|(id, tokens)| PromptPart { id, tokens })
             .collect(),
@@ -157,10 +164,16 @@
         deadline_ms: Some(left_ms),
         prompt: (kind.class == Class::Stream).then_some(prompt),
         resume_after: None,
+        api_key: arrival.organisation.map(api_key),
         ..Request::default()
     }
 }
 
+/// Returns the API key of the organisation with an index in the scenario.
+pub fn api_key(organisation: usize) -> ApiKey {
+    ApiKey::new(format!("key-{organisation}"))
+}
+
 fn millis(duration: Duration) -> f64 {
     duration.as_secs_f64() * 1e3
 }
--- a/crates/yucca-emulator/src/report.rs
+++ b/crates/yucca-emulator/src/report.rs
@@ -6,7 +6,7 @@
 use comfy_table::{Cell, CellAlignment, Table, presets};
 use plotters::prelude::*;
 
-use crate::caller::Outcome;
+use crate::caller::{Outcome, RequestResult};
 use crate::scenario::Scenario;
 use crate::simulation::SimulationResult;
 
@@ -134,6 +134,56 @@
     table
 }
 
+/// Returns a table of the results of each organisation, and of three size classes of each kind: the
+/// largest tenth of its prompts, the fifth below it, and the others.
+pub fn fairness_table(scenario: &Scenario, simulation: &SimulationResult) -> Table {
+    let mut table = Table::new();
+    table.load_preset(presets::ASCII_MARKDOWN);
+    table.set_header(["group", "asked", "in target", "late", "refused", "failed"]);
+    let mut add = |name: String, results: &[&RequestResult]| {
+        let count = |outcome| results.iter().filter(|r| r.outcome == outcome).count();
+        let mut row = vec![Cell::new(name), Cell::new(results.len())];
+        let outcomes = [
+            Outcome::InTarget,
+            Outcome::Late,
+            Outcome::Refused,
+            Outcome::Failed,
+        ];
+        row.extend(outcomes.map(|o| Cell::new(percent(count(o), results.len()))));
+        table.add_row(row);
+    };
+    for (index, organisation) in scenario.organisations.iter().enumerate() {
+        let own = |r: &&RequestResult| r.organisation == Some(index);
+        let results: Vec<_> = simulation.results.iter().filter(own).collect();
+        add(organisation.name.clone(), &results);
+    }
+    for (kind, spec) in scenario.kinds.iter().enumerate() {
+        let mut results: Vec<_> = simulation
+            .results
+            .iter()
+            .filter(|r| r.kind == kind)
+            .collect();
+        results.sort_by_key(|r| std::cmp::Reverse(r.prompt_tokens));
+        let (tenth, third) = (results.len() / 10, results.len() * 3 / 10);
+        if spec.large_share > 0.0 {
+            add(format!("{} largest tenth", spec.name), &results[..tenth]);
+            add(format!("{} fifth below", spec.name), &results[tenth..third]);
+            add(format!("{} others", spec.name), &results[third..]);
+        }
+    }
+    table
+}
+
+/// Returns the share of requests with a complete response, in time or late; 1 for no requests.
+pub fn served_share<'a>(results: impl Iterator<Item = &'a RequestResult>) -> f64 {
+    let (mut asked, mut served) = (0_u32, 0_u32);
+    for result in results {
+        asked += 1;
+        served += u32::from(matches!(result.outcome, Outcome::InTarget | Outcome::Late));
+    }
+    f64::from(served) / f64::from(asked.max(1))
+}
+
 fn percent(part: usize, whole: usize) -> String {
     format!("{:.1}%", 100.0 * part as f64 / whole.max(1) as f64)
 }
--- a/crates/yucca-emulator/src/scenario.rs
+++ b/crates/yucca-emulator/src/scenario.rs
@@ -48,6 +48,17 @@
     pub kinds: Vec<RequestKind>,
     /// Periods with a higher request rate.
     pub bursts: Vec<Burst>,
+    /// Organisations that send the requests; without any, requests have no API key.
+    pub organisations: Vec<Organisation>,
+}
+
+/// An organisation that sends requests of all kinds.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Organisation {
+    /// Name, as in the head of its section.
+    pub name: String,
+    /// Its part of the requests outside of bursts, relative to those of the others.
+    pub weight: f64,
 }
 
 /// Serving class of a kind of requests.
@@ -78,6 +89,12 @@
     pub own_tokens: u32,
     /// Output tokens.
     pub output_tokens: u32,
+    /// Tokens by which the length hint of a request exceeds its output.
+    pub hint_excess_tokens: u32,
+    /// Share of the requests whose own part is longer.
+    pub large_share: f64,
+    /// Factor by which the own part of those is longer.
+    pub large_factor: f64,
     /// Target time until the first token or the complete response, in milliseconds.
     pub target_ms: u64,
     /// Maximum gap between events in milliseconds; 0 for no limit.
@@ -99,6 +116,8 @@
 pub struct Burst {
     /// Index of the kind in [`Scenario::kinds`].
     pub kind: usize,
+    /// Index of the organisation in [`Scenario::organisations`]; `None` for all of them.
+    pub organisation: Option<usize>,
     /// Start, in seconds since the start of the traffic.
     pub from_s: f64,
     /// End, in seconds since the start of the traffic.
@@ -120,12 +139,20 @@
         let fleet = file.sections().find(|s| s.name() == "fleet");
         let fleet = fleet.ok_or_else(|| missing("[fleet]"))?;
         let mut kinds = Vec::new();
+        let mut organisations = Vec::new();
         for section in file.sections() {
             match section.kind_and_name() {
                 ("fleet", "") | ("burst", _) => {}
                 ("kind", kind) if !kind.is_empty() => kinds.push(parse_kind(&section, kind)?),
+                ("organisation", organisation) if !organisation.is_empty() => {
+                    section.expect_keys(&["weight"])?;
+                    organisations.push(Organisation {
+                        name: organisation.to_owned(),
+                        weight: optional_or(&section, "weight", 1.0)?,
+                    });
+                }
                 _ => {
-                    let detail = "expected fleet, kind NAME or burst NUMBER";
+                    let detail = "expected fleet, kind NAME, organisation NAME or burst NUMBER";
                     return Err(section.error(Code::SettingsUnknownKey, "section", &detail));
                 }
             }
@@ -134,8 +161,14 @@
             return Err(missing("[kind NAME]"));
         }
         let bursts = file.sections().filter(|s| s.kind_and_name().0 == "burst");
-        let bursts: Result<Vec<Burst>> = bursts.map(|s| parse_burst(&s, &kinds)).collect();
-        parse_fleet(&fleet, kinds, bursts?)
+        let bursts: Result<Vec<Burst>> = bursts
+            .map(|s| parse_burst(&s, &kinds, &organisations))
+            .collect();
+        let scenario = parse_fleet(&fleet, kinds, bursts?)?;
+        Ok(Self {
+            organisations,
+            ..scenario
+        })
     }
 }
 
@@ -181,6 +214,7 @@
         seconds: optional_or(section, "seconds", 30.0)?,
         kinds,
         bursts,
+        organisations: Vec::new(),
     })
 }
 
@@ -192,6 +226,9 @@
         "shared_parts",
         "own_tokens",
         "output_tokens",
+        "hint_excess_tokens",
+        "large_share",
+        "large_factor",
         "target_ms",
         "gap_ms",
         "deadline_ms",
@@ -218,6 +255,9 @@
         shared_parts: optional_or(section, "shared_parts", 8)?,
         own_tokens: optional_or(section, "own_tokens", 0)?,
         output_tokens: optional_or(section, "output_tokens", 1)?,
+        hint_excess_tokens: optional_or(section, "hint_excess_tokens", 0)?,
+        large_share: optional_or(section, "large_share", 0.0)?,
+        large_factor: optional_or(section, "large_factor", 1.0)?,
         target_ms: section.required("target_ms", "milliseconds")?,
         gap_ms: optional_or(section, "gap_ms", 0)?,
         deadline_ms: section.required("deadline_ms", "milliseconds")?,
@@ -228,8 +268,12 @@
     })
 }
 
-fn parse_burst(section: &Section<'_>, kinds: &[RequestKind]) -> Result<Burst> {
-    section.expect_keys(&["kind", "from_s", "to_s", "factor"])?;
+fn parse_burst(
+    section: &Section<'_>,
+    kinds: &[RequestKind],
+    organisations: &[Organisation],
+) -> Result<Burst> {
+    section.expect_keys(&["kind", "organisation", "from_s", "to_s", "factor"])?;
     let name: String = section.required("kind", "the name of a kind")?;
     let kind = kinds.iter().position(|kind| kind.name == name);
     let Some(kind) = kind else {
@@ -239,8 +283,17 @@
             &"expected the name of a kind",
         ));
     };
+    let sender: Option<String> = section.optional("organisation", "the name of an organisation")?;
+    let organisation = sender.as_ref().map(|sender| {
+        let found = organisations.iter().position(|o| o.name == *sender);
+        found.ok_or_else(|| {
+            let detail = "expected the name of an organisation";
+            section.error(Code::SettingsBadValue, "organisation", &detail)
+        })
+    });
     Ok(Burst {
         kind,
+        organisation: organisation.transpose()?,
         from_s: section.required("from_s", "seconds")?,
         to_s: section.required("to_s", "seconds")?,
         factor: section.required("factor", "a number")?,
--- a/crates/yucca-emulator/src/simulation.rs
+++ b/crates/yucca-emulator/src/simulation.rs
@@ -12,6 +12,7 @@
 use yucca_serve::follow::{follow_backends, probe_store};
 use yucca_serve::hash::hash_of;
 use yucca_serve::host::{Deployment, Host};
+use yucca_serve::organisations::{Organisation, Organisations};
 use yucca_serve::peers;
 use yucca_serve::ports::{BackendResponse, Backends, Call, CallFault, Kind, ResponseBody, Target};
 use yucca_serve::reply::Reply;
@@ -290,10 +291,24 @@
             };
             (name.to_owned(), service)
         })),
+        organisations: organisations(scenario),
         ..ServingConfig::default()
     }
 }
 
+fn organisations(scenario: &Scenario) -> Organisations {
+    let mut all = Organisations::default();
+    for (index, spec) in scenario.organisations.iter().enumerate() {
+        let organisation = Organisation {
+            name: spec.name.as_str().into(),
+            urgency: None,
+        };
+        all.add(organisation, [caller::api_key(index)])
+            .expect("API keys differ by index");
+    }
+    all
+}
+
 /// State of the least-in-flight policy, which knows the current number of requests on each engine.
 struct LeastInFlight {
     pool: Pool,
