Decide on overload by standing, lateness and an ordered queue

The decision by forecast alone admits held requests after a time whatever the queue, refuses prompts that cannot meet their target on idle engines, and does not know organisations.

Requests now have a standing by the recent work of their organisation, kind and size class. Those that cost callers least are delayed or refused first. Held requests are ordered, and only the first is considered again.

--- a/crates/yucca-serve/src/choose.rs
+++ b/crates/yucca-serve/src/choose.rs
@@ -19,7 +19,7 @@
 /// Failure rate up to which an engine counts as healthy.
 const TOLERATED_FAILURE_RATE: f64 = 0.05;
 /// Time to decode one token. The decode time of an event is subtracted from the allowed gap.
-const TOKEN_MS: f64 = 4.5;
+pub(crate) const TOKEN_MS: f64 = 4.5;
 /// Pending work that is assumed for an engine of another availability zone when load is announced
 /// within zones only.
 const UNKNOWN_PENDING_MS: f64 = 120.0;
--- /dev/null
+++ b/crates/yucca-serve/src/held.rs
@@ -0,0 +1,132 @@
+//! Decisions for overload on this host, and the requests that it holds.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+use tokio::sync::Notify;
+use tokio::time::{Duration, sleep, timeout};
+use yuccacove::hold_queue::{Precedence, Ticket};
+use yuccacove::output_length::OutputLength;
+use yuccacove::overload::{Ask, Decision, Overload};
+
+/// Interval at which the first held request is considered for admission again.
+const HOLD_INTERVAL: Duration = Duration::from_millis(25);
+
+/// State of the decision for all services.
+#[derive(Debug, Default)]
+pub struct Overloads {
+    services: RefCell<IndexMap<String, Rc<ServiceOverload>>>,
+}
+
+impl Overloads {
+    /// Returns the state for a service.
+    pub fn service(&self, service: &str) -> Rc<ServiceOverload> {
+        if let Some(known) = self.services.borrow().get(service) {
+            return Rc::clone(known);
+        }
+        let added = Rc::default();
+        let mut services = self.services.borrow_mut();
+        services.insert(service.to_owned(), Rc::clone(&added));
+        added
+    }
+}
+
+/// State of the decision for one service.
+#[derive(Debug, Default)]
+pub struct ServiceOverload {
+    state: RefCell<Overload>,
+    /// Notified when it is a held request's turn.
+    turns: RefCell<BTreeMap<Ticket, Rc<Notify>>>,
+    output_lengths: RefCell<IndexMap<u64, OutputLength>>,
+}
+
+impl ServiceOverload {
+    /// Decides about a request. `random` is any random number.
+    pub fn decide(&self, ask: &Ask, now_ms: u64, random: u64) -> Decision {
+        self.state.borrow_mut().decide(ask, now_ms, random)
+    }
+
+    /// Returns the number of organisations that are over their share.
+    pub fn organisations_over(&self) -> usize {
+        self.state.borrow().shares.organisations_over()
+    }
+
+    /// Returns the share of the requests that were admitted recently.
+    pub fn served_share(&self) -> f64 {
+        self.state.borrow().shares.served_share()
+    }
+
+    /// Returns the number of output tokens to reckon with for a request of a kind.
+    pub fn expected_tokens(&self, kind: u64, max_tokens: u32) -> f64 {
+        let lengths = self.output_lengths.borrow();
+        let length = lengths.get(&kind).copied().unwrap_or_default();
+        length.expected_tokens(max_tokens)
+    }
+
+    /// Records the length of a complete generation.
+    pub fn record_output(&self, kind: u64, max_tokens: u32, tokens: u32) {
+        let mut lengths = self.output_lengths.borrow_mut();
+        lengths.entry(kind).or_default().record(max_tokens, tokens);
+    }
+
+    fn notify_first(&self) {
+        let first = self.state.borrow().queue.first();
+        let turns = self.turns.borrow();
+        if let Some(turn) = first.and_then(|first| turns.get(&first)) {
+            turn.notify_one();
+        }
+    }
+}
+
+/// The place of a held request in the queue of its service, which it leaves on drop.
+#[derive(Debug)]
+pub struct Held {
+    overload: Rc<ServiceOverload>,
+    /// The place.
+    pub ticket: Ticket,
+    turn: Rc<Notify>,
+}
+
+impl Held {
+    /// Adds a request to the queue.
+    pub fn enter(overload: &Rc<ServiceOverload>, precedence: Precedence) -> Self {
+        let ticket = overload.state.borrow_mut().queue.insert(precedence);
+        let turn = Rc::new(Notify::new());
+        let mut turns = overload.turns.borrow_mut();
+        turns.insert(ticket, Rc::clone(&turn));
+        Self {
+            overload: Rc::clone(overload),
+            ticket,
+            turn,
+        }
+    }
+
+    /// Waits until the request is to be considered again, at most for `left`.
+    pub async fn wait(&self, left: Duration) {
+        if self.is_first() {
+            sleep(HOLD_INTERVAL.min(left)).await;
+            if self.is_first() {
+                return;
+            }
+        }
+        // At its end the request is given up, whether or not it is its turn.
+        let _ = timeout(left, self.turn.notified()).await;
+    }
+
+    fn is_first(&self) -> bool {
+        self.overload.state.borrow().queue.first() == Some(self.ticket)
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        let was_first = self.is_first();
+        self.overload.state.borrow_mut().queue.remove(self.ticket);
+        self.overload.turns.borrow_mut().remove(&self.ticket);
+        if was_first {
+            self.overload.notify_first();
+        }
+    }
+}
--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -19,6 +19,7 @@
 use crate::config_order::ConfigOrder;
 use crate::directory::{BackendKey, Directory};
 use crate::hash::hash_of;
+use crate::held::Overloads;
 use crate::loads::Reservation;
 use crate::memory::Memory;
 use crate::metrics::Metrics;
@@ -106,6 +107,8 @@
     pub peer_updates: Notify,
     /// Memory for bodies.
     pub memory: Memory,
+    /// Decisions for overload, and held requests.
+    pub overloads: Overloads,
     /// Demand for the model engines, over all hosts.
     pub demand: RefCell<PoolDemand>,
     /// Requests and parts of prompts that crash the backends that run them.
@@ -150,6 +153,7 @@
             directory: RefCell::default(),
             peers: Peers::default(),
             peer_updates: Notify::new(),
+            overloads: Overloads::default(),
             demand: RefCell::default(),
             crash_causes: RefCell::default(),
             trials: RefCell::default(),
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod events;
 pub mod follow;
 pub mod hash;
+pub mod held;
 pub mod host;
 pub mod loads;
 pub mod memory;
--- a/crates/yucca-serve/src/metrics.rs
+++ b/crates/yucca-serve/src/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 use yuccacove::code::Code;
+use yuccacove::overload::Reason;
 
 use crate::store_calls::StoreCalls;
 
@@ -24,6 +25,11 @@
     code: u16,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByReason {
+    reason: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ByUrgency {
     urgency: u8,
@@ -46,6 +52,10 @@
     pub refused_parts: Gauge,
     /// Calls to the object store.
     pub store_calls: Rc<StoreCalls>,
+    /// Organisations over their share of the service that was decided about last.
+    pub organisations_over: Gauge,
+    held: Family<ByReason, Counter>,
+    overload_refused: Family<ByReason, Counter>,
     refused: Family<ByCode, Counter>,
     failed: Family<ByCode, Counter>,
     response_s: HistogramByUrgency,
@@ -63,6 +73,9 @@
             invalid_responses: Counter::default(),
             refused_parts: Gauge::default(),
             store_calls: Rc::default(),
+            organisations_over: Gauge::default(),
+            held: Family::default(),
+            overload_refused: Family::default(),
             refused: Family::default(),
             failed: Family::default(),
             response_s: histograms(),
@@ -85,6 +98,19 @@
         self.refused.get_or_create(&label).inc();
     }
 
+    /// Counts a request that is held.
+    pub fn record_hold(&self, reason: Reason) {
+        let reason = reason.name();
+        self.held.get_or_create(&ByReason { reason }).inc();
+    }
+
+    /// Counts a request that is refused for overload, in addition to [`Metrics::record_refusal`].
+    pub fn record_overload(&self, reason: Reason) {
+        let reason = reason.name();
+        let refused = &self.overload_refused;
+        refused.get_or_create(&ByReason { reason }).inc();
+    }
+
     /// Counts a request that may have run and got no complete response.
     pub fn record_failure(&self, code: Code) {
         let label = ByCode {
@@ -129,6 +155,21 @@
             "Calls to the object store",
             self.store_calls.total.clone(),
         );
+        registry.register(
+            "organisations_over_share",
+            "Organisations that had more than their fair share admitted",
+            self.organisations_over.clone(),
+        );
+        registry.register(
+            "held",
+            "Requests that waited in the host for engines, by reason",
+            self.held.clone(),
+        );
+        registry.register(
+            "overload_refused",
+            "Requests that were refused for overload, by reason",
+            self.overload_refused.clone(),
+        );
         registry.register("refused", "Requests that did not run", self.refused.clone());
         registry.register(
             "failed",
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -95,8 +95,19 @@
 
 /// Refuses a request that was not sent to a backend.
 pub fn refuse<B>(host: &Host<B>, id: &str, code: Code, retry_after_ms: Option<u64>) -> Reply {
+    refuse_because(host, id, code, retry_after_ms, "")
+}
+
+/// As [`refuse`], with fields for the log line that tell why.
+fn refuse_because<B>(
+    host: &Host<B>,
+    id: &str,
+    code: Code,
+    retry_after_ms: Option<u64>,
+    cause: &str,
+) -> Reply {
     host.metrics.record_refusal(code);
-    let fields = format!("request={id} code={} ran=no", code.number());
+    let fields = format!("request={id} code={} ran=no{cause}", code.number());
     log::write(Event::Refused, &fields);
     Reply::refusal(code, retry_after_ms)
 }
@@ -404,6 +415,14 @@
         self.refuse_with_retry_after(code, RETRY_AFTER_MS)
     }
 
+    /// Refuses a request for overload before it was sent to a backend. `cause` is appended to the log
+    /// line.
+    pub fn refuse_overloaded(&self, retry_after_ms: u64, cause: &str) -> Reply {
+        let code = Code::DeadlineUnreachable;
+        let (host, id) = (&self.host, &self.request.id);
+        refuse_because(host, id, code, Some(retry_after_ms), cause)
+    }
+
     /// Like [`RequestContext::refuse`], with the time after which the caller may retry.
     pub fn refuse_with_retry_after(&self, code: Code, retry_after_ms: u64) -> Reply {
         let host = &self.host;
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -10,13 +10,18 @@
 use yucca_io::log;
 use yuccacove::code::Code;
 use yuccacove::event::Event;
-use yuccacove::forecast::{Decision, Forecast};
+use yuccacove::fair_shares::Asker;
+use yuccacove::forecast::Forecast;
 use yuccacove::memory_budget::Purpose;
+use yuccacove::overload::{Ask, Decision, Reason};
 
 use crate::choose::{self, EngineChoice, PlacementInput};
 use crate::crashes::{self, Permission, TRIAL_POLL_MS};
 use crate::directory::{BackendKey, Directory};
 use crate::events::EventBuffer;
+use crate::config::EngineSpec;
+use crate::hash::hash_of;
+use crate::held::{Held, ServiceOverload};
 use crate::host::InFlight;
 use crate::loads::Reservation;
 use crate::named_limits;
@@ -31,8 +36,6 @@
 /// Size of events for which no memory is reserved. It is above that of ordinary ones, so that streams
 /// go on while the memory for bodies is in use.
 const UNCOUNTED_BYTES: usize = 4 * 1_024;
-/// Interval at which a held request is considered for admission again.
-const HOLD_INTERVAL: Duration = Duration::from_millis(25);
 /// Urgency of all generations on decode engines. An engine that preempts a generation for a more
 /// urgent one must prefill its entire prompt again, which delays all streams of the engine by more
 /// than the urgent one gains.
@@ -109,7 +112,9 @@
 async fn choose_admitted<B: Backends>(
     context: &RequestContext<B>,
 ) -> Result<EngineChoice, Box<Reply>> {
-    let mut is_held = false;
+    let overload = context.host.overloads.service(&context.service);
+    let mut held: Option<Held> = None;
+    let mut is_admitted = context.has_started();
     loop {
         if context.crashes_backends() {
             return Err(Box::new(context.refuse(Code::SuspectRefused)));
@@ -117,8 +122,15 @@
         let Some(choice) = choose_engines(context) else {
             return Err(Box::new(context.refuse_unplaced()));
         };
-        match admit(context, &choice) {
+        let ask = ask(context, &overload, &choice, held.as_ref());
+        let decision = if is_admitted {
+            Decision::Admit
+        } else {
+            decide(context, &overload, &ask)
+        };
+        match decision {
             Decision::Admit => {
+                is_admitted = true;
                 if context
                     .ensure_grant(choice.prefill.unwrap_or(choice.decode))
                     .await
@@ -126,36 +138,66 @@
                     return Ok(choice);
                 }
             }
-            Decision::Hold => {
-                if !std::mem::replace(&mut is_held, true) {
-                    log_held(context, &choice);
-                }
-                sleep(HOLD_INTERVAL).await;
+            Decision::Hold { precedence, reason } => {
+                let held = held.get_or_insert_with(|| {
+                    log_held(context, &overload, &ask, reason);
+                    Held::enter(&overload, precedence)
+                });
+                let max_hold_ms = ask.forecast.max_hold_ms();
+                let left_ms = max_hold_ms.saturating_sub(ask.forecast.elapsed_ms);
+                held.wait(Duration::from_millis(left_ms)).await;
             }
-            Decision::Refuse { retry_after_ms } => {
-                let reply =
-                    context.refuse_with_retry_after(Code::DeadlineUnreachable, retry_after_ms);
+            Decision::Refuse {
+                retry_after_ms,
+                reason,
+            } => {
+                context.host.metrics.record_overload(reason);
+                let cause = format!(" {}", inputs(&overload, &ask, reason));
+                let reply = context.refuse_overloaded(retry_after_ms, &cause);
                 return Err(Box::new(reply));
             }
         }
     }
 }
 
-fn log_held<B: Backends>(context: &RequestContext<B>, choice: &EngineChoice) {
+fn log_held<B: Backends>(
+    context: &RequestContext<B>,
+    overload: &ServiceOverload,
+    ask: &Ask,
+    reason: Reason,
+) {
+    context.host.metrics.record_hold(reason);
     log::write(
         Event::Held,
         &format!(
-            "request={} route={} engine_use={:.2} reading_ms={:.0} urgent_target_ms={:?} left_ms={}",
+            "request={} route={} {}",
             context.request.id,
             context.route.name,
-            choice.decode_utilisation,
-            choice.pending_ms,
-            context.urgent_target_ms,
-            context.left_ms()
+            inputs(overload, ask, reason)
         ),
     );
 }
 
+/// Returns the log fields with the inputs to the decision about a request.
+fn inputs(overload: &ServiceOverload, ask: &Ask, reason: Reason) -> String {
+    let forecast = &ask.forecast;
+    format!(
+        "reason={} engine_use={:.2} reading_ms={:.0} urgent_target_ms={:?} first_token_ms={:.0} \
+         work_ms={:.0} target_ms={} urgency={} elapsed_ms={} left_ms={} served_share={:.2}",
+        reason.name(),
+        forecast.decode_utilisation,
+        forecast.prefill_queue_ms,
+        forecast.urgent_target_ms,
+        forecast.first_token_ms,
+        ask.work_ms,
+        forecast.target_ms,
+        forecast.urgency,
+        forecast.elapsed_ms,
+        forecast.left_ms,
+        overload.served_share()
+    )
+}
+
 /// Starts the generation on a decode engine. Returns `None` if the request may be retried; the
 /// error is the final reply.
 async fn attempt_once<B: Backends>(
@@ -211,12 +253,32 @@
     }
 }
 
-/// Decides by the forecast of a generation whether it is admitted, held or refused. A request that
-/// was sent to a backend before is always admitted.
-fn admit<B: Backends>(context: &RequestContext<B>, choice: &EngineChoice) -> Decision {
-    if context.has_started() {
-        return Decision::Admit;
-    }
+/// Decides whether a generation is admitted, held or refused.
+fn decide<B: Backends>(
+    context: &RequestContext<B>,
+    overload: &ServiceOverload,
+    ask: &Ask,
+) -> Decision {
+    let host = &context.host;
+    let decision = overload.decide(ask, host.now_ms(), host.draw());
+    let over = i64::try_from(overload.organisations_over()).unwrap_or(i64::MAX);
+    host.metrics.organisations_over.set(over);
+    decision
+}
+
+/// Returns the inputs to the decision about a generation on the chosen engines.
+fn ask<B: Backends>(
+    context: &RequestContext<B>,
+    overload: &ServiceOverload,
+    choice: &EngineChoice,
+    held: Option<&Held>,
+) -> Ask {
+    let prompt = context.request.prompt.as_ref();
+    let tokens = prompt.map_or(0, |prompt| prompt.tokens);
+    let max_output_tokens = prompt.map_or(0, |prompt| prompt.max_output_tokens);
+    let kind = hash_of(&context.route.name);
+    let organisation = context.request.organisation.as_deref();
+    let output_tokens = overload.expected_tokens(kind, max_output_tokens);
     let forecast = Forecast {
         first_token_ms: choice.first_token_ms,
         elapsed_ms: context.elapsed_ms(),
@@ -227,7 +289,25 @@
         prefill_queue_ms: choice.pending_ms,
         urgent_target_ms: context.urgent_target_ms,
     };
-    forecast.decide(context.host.draw())
+    Ask {
+        asker: Asker {
+            organisation: organisation.map(hash_of),
+            kind,
+            urgency: context.route.urgency,
+            tokens,
+        },
+        forecast,
+        work_ms: choice.prefill_ms + decode_work_ms(&context.engine, tokens, output_tokens),
+        ticket: held.map(|held| held.ticket),
+    }
+}
+
+/// Returns the part of an engine's time that a generation takes up by its slot or its KV cache,
+/// whichever is the larger part of the engine's.
+fn decode_work_ms(engine: &EngineSpec, tokens: u32, output_tokens: f64) -> f64 {
+    let slot_share = 1.0 / f64::from(engine.slots.max(1));
+    let kv_share = (f64::from(tokens) + output_tokens) / engine.kv_tokens.max(1) as f64;
+    output_tokens * choose::TOKEN_MS * slot_share.max(kv_share)
 }
 
 fn choose_engines<B: Backends>(context: &RequestContext<B>) -> Option<EngineChoice> {
@@ -424,6 +504,8 @@
                 );
                 let mut directory = context.host.directory.borrow_mut();
                 directory.get_mut(opened.key).health.record_response(true);
+                drop(directory);
+                record_output(context, events.last_id());
                 return log::write(Event::Finished, &fields);
             }
             StreamEnd::CallerLeft => return log::write(Event::Cancelled, &fields),
@@ -461,6 +543,18 @@
     let _ = caller.send(Err(Interrupted)).await;
 }
 
+/// Records the length of a complete generation, for the work that later ones are expected to need.
+fn record_output<B: Backends>(context: &RequestContext<B>, last_event: Option<u64>) {
+    let (Some(prompt), Some(last_event)) = (&context.request.prompt, last_event) else {
+        return;
+    };
+    let tokens = last_event.saturating_mul(u64::from(context.engine.tokens_per_event));
+    let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+    let overload = context.host.overloads.service(&context.service);
+    let kind = hash_of(&context.route.name);
+    overload.record_output(kind, prompt.max_output_tokens, tokens);
+}
+
 /// Starts another attempt. Returns `None` if it fails, the caller leaves or the deadline passes.
 async fn resume<B: Backends>(
     context: &Rc<RequestContext<B>>,
--- a/src/forecast.rs
+++ b/src/forecast.rs
@@ -82,7 +82,8 @@
 }
 
 impl Forecast {
-    fn max_hold_ms(&self) -> u64 {
+    /// Returns the longest time for which a request is held.
+    pub fn max_hold_ms(&self) -> u64 {
         let by_target_ms = self.target_ms as f64 * MAX_HOLD_TARGET_FACTOR;
         let by_deadline_ms = (self.elapsed_ms + self.left_ms) as f64 * MAX_HOLD_DEADLINE_SHARE;
         by_target_ms.max(by_deadline_ms) as u64
@@ -97,12 +98,33 @@
             .is_some_and(|target_ms| self.prefill_queue_ms > queue_ms(target_ms))
     }
 
-    /// Decides whether the generation is started, held or refused. `random` is any random number;
+    /// Whether the remaining capacity is reserved for more urgent requests.
+    pub fn is_crowded(&self) -> bool {
+        self.decode_utilisation > max_utilisation(self.urgency) || self.delays_more_urgent()
+    }
+
+    /// Returns the prefill queue that does not make other requests late, neither more urgent ones
+    /// nor those of the same kind.
+    pub fn tolerated_queue_ms(&self) -> f64 {
+        let own_ms = self.target_ms.max(NEVER_REFUSED_MS as u64);
+        let shortest_ms = self
+            .urgent_target_ms
+            .map_or(own_ms, |urgent| urgent.min(own_ms));
+        shortest_ms as f64 * MAX_QUEUE_TARGET_SHARE
+    }
+
+    /// Whether the target is missed if the generation starts now. `spent_ms` is the time that the
+    /// caller spent on earlier tries.
+    pub fn is_late(&self, spent_ms: u64) -> bool {
+        let total_ms = self.first_token_ms + (self.elapsed_ms + spent_ms) as f64;
+        total_ms > (self.target_ms as f64 * REFUSE_TARGET_FACTOR).max(NEVER_REFUSED_MS)
+    }
+
+    /// Decides by the forecast alone whether the generation is started, held or refused. It is the
+    /// decision that [`crate::overload`] is compared with. `random` is any random number;
     /// it spreads the retries of refused callers.
     pub fn decide(&self, random: u64) -> Decision {
-        let is_crowded =
-            self.decode_utilisation > max_utilisation(self.urgency) || self.delays_more_urgent();
-        if is_crowded && self.elapsed_ms < self.max_hold_ms() {
+        if self.is_crowded() && self.elapsed_ms < self.max_hold_ms() {
             return Decision::Hold;
         }
         let total_ms = self.first_token_ms + self.elapsed_ms as f64;
--- /dev/null
+++ b/src/overload.rs
@@ -0,0 +1,264 @@
+//! The decision for overload: whether a generation is started, held or refused.
+//!
+//! It combines the forecast of the generation with the standing of its organisation, kind and size.
+//! Under shortage the requests that cost callers least are delayed first: those that are late in any
+//! case, those of organisations over their share, and those of kinds that are served more often than
+//! a more urgent one. They start only while the prefill queue is so short that it delays nobody else.
+//! Requests below their floor are started as the most urgent ones are. Without a shortage only the
+//! forecast decides.
+//!
+//! ```
+//! use yuccacove::fair_shares::{Asker, FairShares};
+//! use yuccacove::forecast::Forecast;
+//! use yuccacove::hold_queue::HoldQueue;
+//! use yuccacove::overload::{Ask, Decision, Overload, Reason};
+//!
+//! let mut overload = Overload::default();
+//! let mut ask = Ask {
+//!     asker: Asker { organisation: None, kind: 1, urgency: 0, tokens: 826 },
+//!     forecast: Forecast {
+//!         first_token_ms: 80.0,
+//!         elapsed_ms: 0,
+//!         left_ms: 8_000,
+//!         target_ms: 250,
+//!         urgency: 0,
+//!         decode_utilisation: 0.5,
+//!         prefill_queue_ms: 60.0,
+//!         urgent_target_ms: None,
+//!     },
+//!     work_ms: 15.0,
+//!     ticket: None,
+//! };
+//! assert_eq!(overload.decide(&ask, 0, 0), Decision::Admit);
+//! ask.forecast.first_token_ms = 9_000.0;
+//! let Decision::Refuse { reason, .. } = overload.decide(&ask, 0, 0) else { panic!() };
+//! assert_eq!(reason, Reason::Unreachable);
+//! ```
+
+use indexmap::IndexMap;
+
+use crate::fair_shares::{Asker, FairShares, Standing};
+use crate::forecast::Forecast;
+use crate::hold_queue::{HoldQueue, Precedence, Ticket};
+
+/// Share of the time left that the forecast of a request below its floor may take. The rest is for
+/// its output and for errors of the forecast.
+const UNDER_DEADLINE_SHARE: f64 = 0.5;
+/// Utilisation of a decode engine above which requests that are delayed first do not start.
+const MAX_DELAYED_UTILISATION: f64 = 0.75;
+/// Multiple of its work by which a held request is put back. Of two requests with the same due time,
+/// the one that needs less of the engines leaves more to others.
+const WORK_PENALTY: f64 = 4.0;
+/// Largest share of the time left that a refused caller is asked to wait.
+const MAX_RETRY_SHARE: f64 = 0.33;
+/// Part of the longest retry delay over which capped delays are spread.
+const CAPPED_SPREAD: f64 = 0.4;
+/// Shortest retry delay. Below it the load data of the hosts have not changed.
+const MIN_RETRY_MS: f64 = 40.0;
+/// Factor by which the time that callers usually allow decreases with each request, so that it
+/// follows a change of the configuration. It is close to 1, because most requests that arrive in a
+/// shortage may be those of returning callers.
+const USUAL_DECAY: f64 = 0.9995;
+/// Time in which the numbers of admitted and refused requests decay to half.
+const HALF_LIFE_MS: f64 = 1_000.0;
+
+/// A request about which is decided.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Ask {
+    /// Whose request it is, and of which kind and size.
+    pub asker: Asker,
+    /// Forecast on the engines that were chosen for it now.
+    pub forecast: Forecast,
+    /// Time of an engine that it needs.
+    pub work_ms: f64,
+    /// Its place in the queue, if it was held.
+    pub ticket: Option<Ticket>,
+}
+
+/// Decision about a generation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Decision {
+    /// The generation is started.
+    Admit,
+    /// The generation waits for its turn.
+    Hold {
+        /// Order among the held requests.
+        precedence: Precedence,
+        /// Why it does not start.
+        reason: Reason,
+    },
+    /// The generation is refused; the caller may retry.
+    Refuse {
+        /// Time after which the caller may retry.
+        retry_after_ms: u64,
+        /// Why it does not start.
+        reason: Reason,
+    },
+}
+
+/// Why a generation does not start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Reason {
+    /// The first token is forecast after the deadline.
+    Unreachable,
+    /// The target is missed in any case, and the room is left to requests that can meet theirs.
+    Late,
+    /// The room is left to more urgent requests, or to others that were held before.
+    Reserved,
+    /// The organisation is over its share.
+    OverShare,
+    /// The kind is served more often than a more urgent one.
+    Ahead,
+}
+
+impl Reason {
+    /// Returns the reason's name in metrics and log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::Late => "late",
+            Self::Reserved => "reserved",
+            Self::OverShare => "over_share",
+            Self::Ahead => "ahead",
+        }
+    }
+}
+
+/// State of the decision for one service on one host.
+#[derive(Debug, Default)]
+pub struct Overload {
+    /// Recent work of organisations and kinds.
+    pub shares: FairShares,
+    /// Requests that are held.
+    pub queue: HoldQueue,
+    decayed_ms: u64,
+    admitted: f64,
+    refused: f64,
+    /// Time that the callers of each kind usually allow for a request.
+    allowed_ms: IndexMap<u64, f64>,
+}
+
+impl Overload {
+    /// Decides about a request. `random` is any random number; it spreads the retries of refused
+    /// callers.
+    pub fn decide(&mut self, ask: &Ask, now_ms: u64, random: u64) -> Decision {
+        let decision = self.decision(ask, now_ms, random);
+        self.decay(now_ms);
+        match decision {
+            Decision::Admit => {
+                self.admitted += 1.0;
+                self.shares.record(&ask.asker, ask.work_ms, true, now_ms);
+                if ask.ticket.is_some() {
+                    self.queue.record_release(now_ms);
+                }
+            }
+            Decision::Hold { .. } => {}
+            Decision::Refuse { .. } => {
+                self.refused += 1.0;
+                self.shares.record(&ask.asker, ask.work_ms, false, now_ms);
+            }
+        }
+        decision
+    }
+
+    fn decision(&mut self, ask: &Ask, now_ms: u64, random: u64) -> Decision {
+        let forecast = &ask.forecast;
+        let spent_ms = self.spent_ms(ask);
+        let standing = self.shares.standing(&ask.asker, now_ms);
+        let left_ms = forecast.left_ms as f64;
+        if forecast.first_token_ms > left_ms {
+            return self.refuse(ask, Reason::Unreachable, random);
+        }
+        if standing == Standing::Under && forecast.first_token_ms <= left_ms * UNDER_DEADLINE_SHARE
+        {
+            return Decision::Admit;
+        }
+        let late = forecast.is_late(spent_ms).then_some(Reason::Late);
+        let delayed = match standing {
+            Standing::Over => Some(Reason::OverShare),
+            Standing::Ahead => Some(Reason::Ahead),
+            Standing::Under | Standing::Fair => late,
+        };
+        let is_crowded = match delayed {
+            Some(_) => is_busy(forecast),
+            None => forecast.is_crowded(),
+        };
+        let precedence = precedence(ask, delayed.is_some(), now_ms);
+        // A request that nothing holds back passes those that are held.
+        let may_be_held = delayed.is_some() || ask.asker.urgency > 0;
+        let is_behind = may_be_held && ask.ticket.is_none() && self.queue.is_behind(precedence);
+        if !is_crowded && !is_behind {
+            return Decision::Admit;
+        }
+        let reason = delayed.unwrap_or(Reason::Reserved);
+        if matches!(reason, Reason::OverShare | Reason::Ahead) {
+            // Held, it would be late when it starts. Refused, it leaves its share to requests of the
+            // same organisation or kind that can be in time.
+            return self.refuse(ask, reason, random);
+        }
+        let wait_ms = match ask.ticket {
+            Some(_) => 0.0,
+            None => self.queue.expected_wait_ms(precedence, now_ms),
+        };
+        if forecast.elapsed_ms as f64 + wait_ms >= forecast.max_hold_ms() as f64 {
+            return self.refuse(ask, reason, random);
+        }
+        Decision::Hold { precedence, reason }
+    }
+
+    /// Returns the time that the caller has spent on earlier tries. A returning caller allows less
+    /// time than others of its kind, because its target and its deadline began with the first try.
+    fn spent_ms(&mut self, ask: &Ask) -> u64 {
+        let allowed_ms = (ask.forecast.elapsed_ms + ask.forecast.left_ms) as f64;
+        let usual_ms = self.allowed_ms.entry(ask.asker.kind).or_insert(allowed_ms);
+        *usual_ms = (*usual_ms * USUAL_DECAY).max(allowed_ms);
+        (*usual_ms - allowed_ms) as u64
+    }
+
+    /// Refuses a request. Its caller is to return when the queue has become short enough and those
+    /// that were refused shortly before have returned.
+    fn refuse(&self, ask: &Ask, reason: Reason, random: u64) -> Decision {
+        let forecast = &ask.forecast;
+        let excess_ms = forecast.prefill_queue_ms - forecast.tolerated_queue_ms();
+        let earliest_ms = excess_ms.max(MIN_RETRY_MS);
+        // Time in which this host admits as many requests as it has refused lately.
+        let admitted_per_ms = self.admitted.max(1.0) * std::f64::consts::LN_2 / HALF_LIFE_MS;
+        let backlog_ms = (self.refused + 1.0) / admitted_per_ms;
+        let spread = (random % 1_000) as f64 / 1_000.0;
+        let latest_ms = forecast.left_ms as f64 * MAX_RETRY_SHARE;
+        let cap_ms = latest_ms * (1.0 - CAPPED_SPREAD * spread);
+        let retry_after_ms = earliest_ms + backlog_ms.max(forecast.first_token_ms) * spread;
+        Decision::Refuse {
+            retry_after_ms: retry_after_ms.min(cap_ms) as u64,
+            reason,
+        }
+    }
+
+    fn decay(&mut self, now_ms: u64) {
+        let since_ms = now_ms.saturating_sub(self.decayed_ms);
+        self.decayed_ms = self.decayed_ms.max(now_ms);
+        let factor = (-(since_ms as f64) / HALF_LIFE_MS).exp2();
+        self.admitted *= factor;
+        self.refused *= factor;
+    }
+}
+
+/// Whether the engines have no room to spare for requests that are delayed first.
+fn is_busy(forecast: &Forecast) -> bool {
+    forecast.decode_utilisation > MAX_DELAYED_UTILISATION
+        || forecast.prefill_queue_ms > forecast.tolerated_queue_ms()
+}
+
+fn precedence(ask: &Ask, is_late: bool, now_ms: u64) -> Precedence {
+    let forecast = &ask.forecast;
+    let until_ms = if is_late {
+        forecast.left_ms
+    } else {
+        forecast.target_ms.saturating_sub(forecast.elapsed_ms)
+    };
+    Precedence {
+        is_late,
+        urgency: ask.asker.urgency,
+        due_ms: now_ms + until_ms + (ask.work_ms * WORK_PENALTY) as u64,
+    }
+}
