--- a/crates/yucca-emulator/src/bin/yucca-emulate.rs
+++ b/crates/yucca-emulator/src/bin/yucca-emulate.rs
@@ -15,7 +15,7 @@
 usage: yucca-emulate SCENARIO [--policy NAME]... [--seeds N] [--svg FILE]
 
   SCENARIO       scenario file (INI); see docs/emulator.md
-  --policy NAME  hosts (default), least-in-flight, or least-in-flight:N with N prefill engines
+  --policy NAME  hosts (default), hosts-by-forecast, least-in-flight, or least-in-flight:N with N prefill engines
   --seeds N      runs seeds 1 to N (default 1) and merges their results
   --svg FILE     plots the requests that met their targets over time, for the first policy and seed 1
   -h, --help     prints this text";
@@ -82,12 +82,13 @@
     let (name, prefill_engines) = name.split_once(':').unwrap_or((name, "0"));
     match name {
         "hosts" => Ok(Policy::Hosts),
+        "hosts-by-forecast" => Ok(Policy::HostsByForecast),
         "least-in-flight" => Ok(Policy::LeastInFlight {
             prefill_engines: prefill_engines
                 .parse()
                 .context("invalid number of prefill engines")?,
         }),
-        _ => bail!("unknown policy {name:?}; expected hosts or least-in-flight"),
+        _ => bail!("unknown policy {name:?}; expected hosts, hosts-by-forecast or least-in-flight"),
     }
 }
 
--- a/crates/yucca-emulator/src/simulation.rs
+++ b/crates/yucca-emulator/src/simulation.rs
@@ -11,6 +11,7 @@
 use yucca_serve::config::{EngineSpec, Route, RouteKind, Service, ServingConfig, WeightedService};
 use yucca_serve::follow::{follow_backends, probe_store};
 use yucca_serve::hash::hash_of;
+use yucca_serve::held::AdmissionPolicy;
 use yucca_serve::host::{Deployment, Host};
 use yucca_serve::organisations::{Organisation, Organisations};
 use yucca_serve::peers;
@@ -43,6 +44,8 @@
 pub enum Policy {
     /// Entry hosts decide, with the code of [`yucca_serve`].
     Hosts,
+    /// Entry hosts decide, and admit, hold and refuse by the forecast alone.
+    HostsByForecast,
     /// Each stage runs on the engine with the fewest requests in flight, without admission control.
     /// Engines keep their phase; without prefill engines, each decode engine prefills its own prompts.
     LeastInFlight {
@@ -111,7 +114,14 @@
     let store = MemoryStore::new();
     let pool = Pool::spawn(&scenario.size, scenario.capacity, &store);
     let handler = match policy {
-        Policy::Hosts => start_hosts(scenario, seed, &pool, &store),
+        Policy::Hosts => {
+            let admission = AdmissionPolicy::Overload;
+            start_hosts(scenario, seed, admission, &pool, &store)
+        }
+        Policy::HostsByForecast => {
+            let admission = AdmissionPolicy::Forecast;
+            start_hosts(scenario, seed, admission, &pool, &store)
+        }
         Policy::LeastInFlight { prefill_engines } => {
             start_least_in_flight(scenario, &pool, prefill_engines)
         }
@@ -145,11 +155,12 @@
 fn start_hosts(
     scenario: &Scenario,
     seed: u64,
+    admission: AdmissionPolicy,
     pool: &Pool,
     store: &Rc<MemoryStore>,
 ) -> caller::RequestHandler {
     let hosts: Vec<Rc<Host<Pool>>> = (0..scenario.hosts)
-        .map(|number| start_host(scenario, seed, number, pool, store))
+        .map(|number| start_host(scenario, seed, number, admission, pool, store))
         .collect();
     spawn_local(deliver_datagrams(hosts.clone()));
     Rc::new(move |host, request| {
@@ -166,6 +177,7 @@
     scenario: &Scenario,
     seed: u64,
     number: usize,
+    admission: AdmissionPolicy,
     pool: &Pool,
     store: &Rc<MemoryStore>,
 ) -> Rc<Host<Pool>> {
@@ -185,7 +197,8 @@
         duty_per_s: 50.0,
     };
     let name = deployment.name.clone();
-    let host = Rc::new(Host::new(deployment, pool.clone(), hash_of((seed, number))));
+    let host = Host::new(deployment, pool.clone(), hash_of((seed, number)));
+    let host = Rc::new(host.with_admission(admission));
     host.set_config(config(scenario));
     let store_health = Rc::clone(&host.relay.store_health);
     let started = Instant::now();
--- a/crates/yucca-serve/src/held.rs
+++ b/crates/yucca-serve/src/held.rs
@@ -7,26 +7,51 @@
 use indexmap::IndexMap;
 use tokio::sync::Notify;
 use tokio::time::{Duration, sleep, timeout};
+use yuccacove::forecast;
 use yuccacove::hold_queue::{Precedence, Ticket};
 use yuccacove::output_length::OutputLength;
-use yuccacove::overload::{Ask, Decision, Overload};
+use yuccacove::overload::{Ask, Decision, Overload, Reason};
 
 /// Interval at which the first held request is considered for admission again.
 const HOLD_INTERVAL: Duration = Duration::from_millis(25);
 
+/// What decides about generations.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum AdmissionPolicy {
+    /// [`Overload`], which knows organisations, kinds and sizes.
+    #[default]
+    Overload,
+    /// [`Forecast`] alone, with which simulations compare it.
+    ///
+    /// [`Forecast`]: yuccacove::forecast::Forecast
+    Forecast,
+}
+
 /// State of the decision for all services.
 #[derive(Debug, Default)]
 pub struct Overloads {
+    policy: AdmissionPolicy,
     services: RefCell<IndexMap<String, Rc<ServiceOverload>>>,
 }
 
 impl Overloads {
+    /// Creates the state for a policy.
+    pub fn new(policy: AdmissionPolicy) -> Self {
+        Self {
+            policy,
+            services: RefCell::default(),
+        }
+    }
+
     /// Returns the state for a service.
     pub fn service(&self, service: &str) -> Rc<ServiceOverload> {
         if let Some(known) = self.services.borrow().get(service) {
             return Rc::clone(known);
         }
-        let added = Rc::default();
+        let added = Rc::new(ServiceOverload {
+            policy: self.policy,
+            ..ServiceOverload::default()
+        });
         let mut services = self.services.borrow_mut();
         services.insert(service.to_owned(), Rc::clone(&added));
         added
@@ -36,6 +61,7 @@
 /// State of the decision for one service.
 #[derive(Debug, Default)]
 pub struct ServiceOverload {
+    policy: AdmissionPolicy,
     state: RefCell<Overload>,
     /// Notified when it is a held request's turn.
     turns: RefCell<BTreeMap<Ticket, Rc<Notify>>>,
@@ -45,7 +71,10 @@
 impl ServiceOverload {
     /// Decides about a request. `random` is any random number.
     pub fn decide(&self, ask: &Ask, now_ms: u64, random: u64) -> Decision {
-        self.state.borrow_mut().decide(ask, now_ms, random)
+        match self.policy {
+            AdmissionPolicy::Overload => self.state.borrow_mut().decide(ask, now_ms, random),
+            AdmissionPolicy::Forecast => decide_by_forecast(ask, random),
+        }
     }
 
     /// Returns the number of organisations that are over their share.
@@ -80,6 +109,24 @@
     }
 }
 
+fn decide_by_forecast(ask: &Ask, random: u64) -> Decision {
+    match ask.forecast.decide(random) {
+        forecast::Decision::Admit => Decision::Admit,
+        forecast::Decision::Hold => Decision::Hold {
+            precedence: Precedence {
+                is_late: false,
+                urgency: 0,
+                due_ms: 0,
+            },
+            reason: Reason::Reserved,
+        },
+        forecast::Decision::Refuse { retry_after_ms } => Decision::Refuse {
+            retry_after_ms,
+            reason: Reason::Late,
+        },
+    }
+}
+
 /// The place of a held request in the queue of its service, which it leaves on drop.
 #[derive(Debug)]
 pub struct Held {
@@ -105,6 +152,9 @@
 
     /// Waits until the request is to be considered again, at most for `left`.
     pub async fn wait(&self, left: Duration) {
+        if self.overload.policy == AdmissionPolicy::Forecast {
+            return sleep(HOLD_INTERVAL).await;
+        }
         if self.is_first() {
             sleep(HOLD_INTERVAL.min(left)).await;
             if self.is_first() {
--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -19,7 +19,7 @@
 use crate::config_order::ConfigOrder;
 use crate::directory::{BackendKey, Directory};
 use crate::hash::hash_of;
-use crate::held::Overloads;
+use crate::held::{AdmissionPolicy, Overloads};
 use crate::loads::Reservation;
 use crate::memory::Memory;
 use crate::metrics::Metrics;
@@ -179,6 +179,15 @@
         Self { clock, ..self }
     }
 
+    /// Replaces the policy that decides about generations.
+    #[must_use]
+    pub fn with_admission(self, policy: AdmissionPolicy) -> Self {
+        Self {
+            overloads: Overloads::new(policy),
+            ..self
+        }
+    }
+
     /// Returns the milliseconds since the host was created, on the monotonic clock.
     pub fn now_ms(&self) -> u64 {
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -16,10 +16,10 @@
 use yuccacove::overload::{Ask, Decision, Reason};
 
 use crate::choose::{self, EngineChoice, PlacementInput};
+use crate::config::EngineSpec;
 use crate::crashes::{self, Permission, TRIAL_POLL_MS};
 use crate::directory::{BackendKey, Directory};
 use crate::events::EventBuffer;
-use crate::config::EngineSpec;
 use crate::hash::hash_of;
 use crate::held::{Held, ServiceOverload};
 use crate::host::InFlight;
--- a/src/fair_shares.rs
+++ b/src/fair_shares.rs
@@ -10,15 +10,14 @@
 //! let asker = |organisation| Asker { organisation: Some(organisation), kind: 1, urgency: 0, tokens: 800 };
 //! let mut shares = FairShares::default();
 //! for _ in 0..50 {
-//!     // One organisation asks for four times the work of the other, and half of all is refused.
-//!     shares.record(&asker(7), 13.0, false, 0);
-//!     shares.record(&asker(7), 13.0, false, 0);
-//!     shares.record(&asker(7), 13.0, true, 0);
-//!     shares.record(&asker(7), 13.0, true, 0);
+//!     // Both are served half of what they ask for, but one asks for twice the work of the other.
+//!     shares.record(&asker(7), 26.0, true, 0);
+//!     shares.record(&asker(7), 26.0, false, 0);
 //!     shares.record(&asker(8), 13.0, true, 0);
+//!     shares.record(&asker(8), 13.0, false, 0);
 //! }
-//! assert_eq!(shares.standing(&asker(7), 0), Standing::Over);
-//! assert_eq!(shares.standing(&asker(8), 0), Standing::Fair);
+//! assert_eq!(shares.standing(&asker(7), 200), Standing::Over);
+//! assert_eq!(shares.standing(&asker(8), 200), Standing::Fair);
 //! ```
 
 use indexmap::IndexMap;
@@ -35,7 +34,7 @@
 /// Served requests that each account is assumed to have had, so that one refusal is no shortage.
 const PRIOR_REQUESTS: f64 = 1.0;
 /// Ratio of the admitted work to the fair share above which an organisation is over its share.
-const OVER_SHARE_FACTOR: f64 = 1.1;
+const OVER_SHARE_FACTOR: f64 = 1.05;
 /// Ratio of the work asked for to the work admitted above which there is a shortage.
 const SHORTAGE_RATIO: f64 = 1.05;
 /// Served share of an organisation, relative to that of all, below which it is preferred. Callers
@@ -47,10 +46,13 @@
 const KIND_FLOOR: f64 = 0.5;
 /// Served share of a kind's large requests, relative to that of the whole kind, below which they are
 /// preferred. Callers need a half.
-const SIZE_FLOOR: f64 = 0.75;
-/// Served share by which a kind may exceed a more urgent one without being delayed. Callers tolerate
-/// 0.05.
-const INVERSION_MARGIN: f64 = 0.02;
+const SIZE_FLOOR: f64 = 0.6;
+/// Served share of a kind below which less urgent kinds are delayed if theirs is not lower by
+/// [`INVERSION_MARGIN`].
+const SHORTAGE_SHARE: f64 = 0.9;
+/// Served share by which a kind is kept below the more urgent ones. It allows for their callers that
+/// have no time left to return, so that they are served less often than a host can see.
+const INVERSION_MARGIN: f64 = 0.05;
 /// Prompt lengths, relative to a quantile, above which a prompt is longer than it.
 const LONGER_FACTOR: f64 = 1.02;
 /// Relative change of an estimated quantile with each request.
@@ -241,8 +243,8 @@
             return Standing::Ahead;
         }
         let size = kind.size(asker.tokens);
-        let is_size_low = size != Size::Usual
-            && kind.sizes[size as usize].is_below(SIZE_FLOOR, &kind.requests);
+        let is_size_low =
+            size != Size::Usual && kind.sizes[size as usize].is_below(SIZE_FLOOR, &kind.requests);
         if is_starved || is_size_low || kind.requests.is_below(KIND_FLOOR, &self.all) {
             Standing::Under
         } else {
@@ -274,7 +276,7 @@
         let more_urgent = self.kinds.values().filter(|o| o.urgency < kind.urgency);
         more_urgent
             .map(|other| other.requests.share())
-            .any(|other| share > other + INVERSION_MARGIN)
+            .any(|other| other < SHORTAGE_SHARE && share > other - INVERSION_MARGIN)
     }
 
     fn decay(&mut self, now_ms: u64) {
