--- a/crates/yucca-emulator/src/store.rs
+++ b/crates/yucca-emulator/src/store.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Duration, sleep};
 use yucca_serve::config::ServingConfig;
 use yucca_serve::directory::BackendEntry;
+use yucca_serve::organisations::{ApiKey, Organisation, Organisations};
 use yucca_serve::ports::{ConfigFault, Freshness, Kind, Object, ObjectStore, Objects, StoreFault};
 use yucca_serve::revision::{era_of, number_of, revision};
 use yuccacove::prompt_placement::Phase;
@@ -297,8 +298,27 @@
         let version = object.value.as_ref().and_then(|v| v["version"].as_u64());
         let version =
             version.ok_or_else(|| ConfigFault::Malformed("version is missing".to_owned()))?;
+        let mut organisations = Organisations::default();
+        let keys_of = object
+            .value
+            .as_ref()
+            .and_then(|v| v["organisations"].as_object());
+        for (name, keys) in keys_of.into_iter().flatten() {
+            let keys = keys.as_array().into_iter().flatten();
+            let organisation = Organisation {
+                name: name.as_str().into(),
+                urgency: None,
+            };
+            organisations
+                .add(
+                    organisation,
+                    keys.filter_map(Value::as_str).map(ApiKey::new),
+                )
+                .map_err(ConfigFault::SharedKey)?;
+        }
         Ok(ServingConfig {
             version,
+            organisations,
             ..ServingConfig::default()
         })
     }
--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -346,6 +346,7 @@
     let Some(recency) = &host.recency else {
         return Vec::new();
     };
+    recency.log_change(&host.clock);
     let hosts = host.peers.hosts.borrow();
     let address_of = |id: HostId| {
         let peer = hosts.values().find(|peer| peer.id == id);
--- a/crates/yucca-serve/src/recency.rs
+++ b/crates/yucca-serve/src/recency.rs
@@ -7,6 +7,8 @@
 use std::cell::{Cell, RefCell};
 
 use serde::{Deserialize, Serialize};
+use yucca_io::log;
+use yuccacove::event::Event;
 use yuccacove::fleet_rate::HostId;
 use yuccacove::recency::Recency;
 
@@ -73,6 +75,7 @@
     /// it is trusted.
     untrusted_questions: Cell<u32>,
     answers: RefCell<Vec<(HostId, Answer)>>,
+    was_proven: Cell<bool>,
 }
 
 impl ConfigRecency {
@@ -86,6 +89,7 @@
             last_question_ms: Cell::new(None),
             untrusted_questions: Cell::new(0),
             answers: RefCell::default(),
+            was_proven: Cell::new(false),
         }
     }
 
@@ -94,6 +98,21 @@
         self.untrusted_questions.get() == 0 && self.recency.borrow().is_proven(clock.now_ms())
     }
 
+    /// Logs whether API keys are accepted if that has changed since the last call.
+    pub(crate) fn log_change(&self, clock: &BootClock) {
+        let is_proven = self.is_proven(clock);
+        if self.was_proven.replace(is_proven) == is_proven {
+            return;
+        }
+        let event = if is_proven {
+            Event::KeysProven
+        } else {
+            Event::KeysUnproven
+        };
+        let ConfigId { revision, version } = self.config.get();
+        log::write(event, &format!("version={version} revision={revision}"));
+    }
+
     /// Records that a configuration became active. The first one that a host reads from a restored
     /// store may be older than the one that other hosts use.
     pub(crate) fn record_config(&self, config: ConfigId) {
--- a/crates/yucca-serve/tests/common/mod.rs
+++ b/crates/yucca-serve/tests/common/mod.rs
@@ -85,6 +85,8 @@
     pub has_kv_cache: bool,
     /// Remaining time of the request.
     pub left_ms: u64,
+    /// Urgency rank that the engine receives.
+    pub urgency: u8,
 }
 
 /// Engines that all hosts of a test share. An engine crashes a moment after it begins to answer a
@@ -247,6 +249,8 @@
     pub prefill_ms: Cell<u64>,
     /// Received calls in order.
     pub calls: RefCell<Vec<ReceivedCall>>,
+    /// Requests of all calls, in order.
+    pub requests: RefCell<Vec<Request>>,
     /// Number of response bodies that were dropped before their end.
     pub dropped_early: Rc<Cell<u32>>,
     /// Received orders, each with the id of the engine.
@@ -297,6 +301,7 @@
             resume_after: call.resume_after,
             has_kv_cache: call.kv_cache.is_some(),
             left_ms: call.left_ms,
+            urgency: call.urgency,
         });
     }
 }
@@ -376,6 +381,7 @@
         call: Call,
     ) -> Result<BackendResponse<FakeBody>, CallFault> {
         self.record(to, &call, false);
+        self.requests.borrow_mut().push(request.clone());
         let mut step = self
             .scripts
             .borrow_mut()
@@ -437,6 +443,7 @@
         call: Call,
     ) -> Result<Prefilled, CallFault> {
         self.record(to, &call, true);
+        self.requests.borrow_mut().push(request.clone());
         wait_ms(1 + self.prefill_ms.get()).await;
         if let Some(fleet) = &*self.fleet.borrow() {
             fleet.run_prefill(&to.id, request)?;
--- a/src/event.rs
+++ b/src/event.rs
@@ -85,6 +85,8 @@
     CatalogueStale = 602, "catalogue_stale", "An older version of a catalogue object was ignored.";
     CatalogueInvalid = 603, "catalogue_invalid", "A catalogue object could not be parsed and was ignored.";
     AnnounceAccepted = 604, "announce_accepted", "An operator's change was announced to this host.";
+    KeysUnproven = 605, "keys_unproven", "This host does not know whether its configuration is recent enough to accept API keys, and refuses requests with keys.";
+    KeysProven = 606, "keys_proven", "This host knows that its configuration is recent enough to accept API keys.";
 }
 
 impl Display for Event {
