Plan the numbers of ordinary and spot engines

The number of engines of a service was fixed, so that deployments paid for far more engines than an average load needs.

--- /dev/null
+++ b/src/engine_scaling.rs
@@ -0,0 +1,680 @@
+//! How many ordinary and spot engines of a service to order in each availability zone.
+//!
+//! A spot engine costs a fraction of an ordinary one, but the platform may take back all spot engines
+//! of a zone at once. [`cheapest`] finds the cheapest numbers that still suffice then. [`Planner`]
+//! decides which orders lead from the present engines to these numbers: more engines at once, fewer
+//! only after a time in which they were not needed, a bounded step at a time, and never below what
+//! the demand needs of the engines that serve now.
+//!
+//! ```
+//! use yuccacove::engine_scaling::{Limits, Need, ZoneSupply, cheapest};
+//!
+//! let limits = Limits { min: 1, max: 30, boot_ms: 4_000, spot_price: 0.18 };
+//! let zone = ZoneSupply { price: 1.0, ..ZoneSupply::default() };
+//! let zones = [ZoneSupply { max_spot: 30, ..zone }; 3];
+//! let need = Need { whole: 12.0, firm: 6.0, urgent: 4.0, reserve: 2.0 };
+//! let numbers = cheapest(&limits, &zones, &need, true);
+//! assert_eq!(numbers.iter().map(|n| n.ordinary).sum::<u32>(), 2);
+//! assert_eq!(numbers.iter().map(|n| n.spot).sum::<u32>(), 10);
+//! ```
+
+/// Time in which ordinary engines must not have been needed before they are given back. It is longer
+/// than the interval between two reclaims of spot engines that usually follow each other.
+const LOW_MS: u64 = 8_000;
+/// The same for spot engines, which cost little.
+const LOW_SPOT_MS: u64 = 30_000;
+/// Time without the spot engines that the headroom for bursts needs after which ordinary engines
+/// replace them. Spot engines are usually back after 8 to 11 s, about when ordinary ones would serve.
+const SHORTAGE_MS: u64 = 9_000;
+/// Pause between two steps down, in which the engines of the last step end their work.
+const STEP_MS: u64 = 3_000;
+/// Largest share of the engines that serve that one step gives back, because each of them loses its
+/// cached prefixes.
+const STEP_SHARE: f64 = 0.15;
+/// Margin over the need to which engines are ordered, and down to which they are given back. Without
+/// it a need that changes a little would lead to an order each time.
+const BAND: f64 = 1.15;
+/// Smallest saving, as a share of the present cost, for which engines are replaced or given back.
+const MIN_SAVING_SHARE: f64 = 0.08;
+/// Smallest share of the spot engines that is given back.
+const MIN_SPOT_EXCESS: f64 = 0.2;
+/// Time beyond the boot time in which an ordered engine registers.
+const BOOT_SLACK_MS: u64 = 3_000;
+/// Time in which an engine that was given back is listed as draining.
+const LEAVE_MS: u64 = 4_000;
+/// Time after the spot engines of a zone were taken back in which there are none in that zone.
+const RECLAIM_MS: u64 = 8_000;
+/// Shortest time between two reclaims of a zone. Engines that leave are listed for about two seconds.
+const RECLAIM_GAP_MS: u64 = 5_000;
+/// First pause after a refused order for spot engines; it doubles with each further refusal.
+const REFUSED_MS: u64 = 3_000;
+/// Longest such pause.
+const MAX_REFUSED_MS: u64 = 12_000;
+/// Cost of an engine that the most urgent kinds lack, in engines of price 1. It exceeds any price.
+const URGENT_COST: f64 = 1_000.0;
+/// Cost of an engine that the whole demand lacks.
+const WHOLE_COST: f64 = 20.0;
+/// Cost of an engine that the headroom lacks while spot engines may soon be back. Only spot engines
+/// are cheaper.
+const BRIEF_COST: f64 = 0.4;
+/// Cost of an engine that the whole demand would lack after the loss of the spot engines of a zone.
+const FIRM_COST: f64 = 0.4;
+
+/// Limits and prices for the engines of a service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limits {
+    /// Minimum number of engines of a zone, of both kinds together.
+    pub min: u32,
+    /// Maximum number of engines of a zone, of both kinds together.
+    pub max: u32,
+    /// Time from an order until new engines serve.
+    pub boot_ms: u64,
+    /// Price of a spot engine as a fraction of that of an ordinary one.
+    pub spot_price: f64,
+}
+
+/// Need for engines.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Need {
+    /// For the whole demand with headroom for bursts.
+    pub whole: f64,
+    /// For the whole demand without headroom, after the loss of the spot engines of any zone.
+    pub firm: f64,
+    /// For the most urgent kinds, after the loss of the spot engines of any zone.
+    pub urgent: f64,
+    /// Ordinary engines, for a time in which all zones lose their spot engines.
+    pub reserve: f64,
+}
+
+impl Need {
+    fn with_band(&self) -> Self {
+        Self {
+            whole: self.whole * BAND,
+            firm: self.firm * BAND,
+            urgent: self.urgent * BAND,
+            reserve: self.reserve,
+        }
+    }
+}
+
+/// Kind of engines by price and permanence.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum EngineKind {
+    /// Stays until it is given back.
+    Ordinary,
+    /// May be taken back at short notice.
+    Spot,
+}
+
+/// Numbers of engines of a zone.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Numbers {
+    /// Ordinary engines.
+    pub ordinary: u32,
+    /// Spot engines.
+    pub spot: u32,
+}
+
+impl Numbers {
+    fn all(self) -> u32 {
+        self.ordinary + self.spot
+    }
+
+    fn of(self, kind: EngineKind) -> u32 {
+        match kind {
+            EngineKind::Ordinary => self.ordinary,
+            EngineKind::Spot => self.spot,
+        }
+    }
+
+    fn of_mut(&mut self, kind: EngineKind) -> &mut u32 {
+        match kind {
+            EngineKind::Ordinary => &mut self.ordinary,
+            EngineKind::Spot => &mut self.spot,
+        }
+    }
+}
+
+/// What a zone offers, as input of [`cheapest`].
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
+pub struct ZoneSupply {
+    /// Price of an ordinary engine.
+    pub price: f64,
+    /// Largest number of spot engines to be had.
+    pub max_spot: u32,
+    /// Whether the minimum of the zone is kept by spot engines that will be back.
+    pub is_min_kept: bool,
+}
+
+/// Returns the cheapest numbers that meet a need, or come as close to it as the limits allow. If
+/// `replaces_headroom` is `false`, ordinary engines do not replace spot engines that only the headroom
+/// for bursts lacks.
+pub fn cheapest(
+    limits: &Limits,
+    zones: &[ZoneSupply],
+    need: &Need,
+    replaces_headroom: bool,
+) -> Vec<Numbers> {
+    let room = limits.max * zones.len() as u32;
+    let highest = need.whole.max(need.urgent).max(need.firm);
+    let from = ceil(need.reserve).min(room);
+    let to = ceil(highest).clamp(from, room.max(from));
+    let candidates = (from..=to).map(|ordinary| fill(limits, zones, need, ordinary));
+    let whole_cost = if replaces_headroom {
+        WHOLE_COST
+    } else {
+        BRIEF_COST
+    };
+    let score = |numbers: &Vec<Numbers>| {
+        let lack = Lack::of(need, Sums::of(numbers));
+        cost(limits, zones, numbers)
+            + (lack.urgent + lack.reserve) * URGENT_COST
+            + lack.present * WHOLE_COST
+            + lack.whole * whole_cost
+            + lack.firm * FIRM_COST
+    };
+    let best = candidates.min_by(|a, b| score(a).total_cmp(&score(b)));
+    best.unwrap_or_default()
+}
+
+fn ceil(engines: f64) -> u32 {
+    // Tolerates errors of rounding.
+    (engines - 1e-6).ceil().max(0.0) as u32
+}
+
+/// Returns numbers with the given number of ordinary engines, and as many spot engines as the need
+/// asks for. Spot engines are spread over the zones, with more of them in cheaper ones.
+fn fill(limits: &Limits, zones: &[ZoneSupply], need: &Need, ordinary: u32) -> Vec<Numbers> {
+    let min = limits.min.min(limits.max);
+    let mut numbers = vec![Numbers::default(); zones.len()];
+    for (zone, numbers) in zones.iter().zip(&mut numbers) {
+        if !zone.is_min_kept {
+            numbers.spot = min.min(zone.max_spot);
+            numbers.ordinary = min - numbers.spot;
+        }
+    }
+    place_ordinary(limits, zones, &mut numbers, ordinary);
+    let mut sums = Sums::of(&numbers);
+    loop {
+        let lack = Lack::of(need, sums);
+        let is_whole = lack.whole <= 0.0;
+        if is_whole && lack.firm <= 0.0 && lack.urgent <= 0.0 {
+            return numbers;
+        }
+        let has_room = |zone: &usize| {
+            let numbers: Numbers = numbers[*zone];
+            numbers.all() < limits.max && numbers.spot < zones[*zone].max_spot
+        };
+        let free = (0..zones.len()).filter(has_room);
+        let most = free
+            .clone()
+            .filter(|zone| numbers[*zone].spot >= sums.most_spot);
+        // Engines beyond the whole need only help if they do not all go to the zone that may be lost.
+        let is_useless =
+            is_whole && free.clone().count() == most.count() && free.clone().count() < 2;
+        let weight = |zone: usize| f64::from(numbers[zone].spot + 1) * zones[zone].price;
+        let next = free.min_by(|a, b| weight(*a).total_cmp(&weight(*b)));
+        let Some(zone) = next.filter(|_| !is_useless) else {
+            return numbers;
+        };
+        numbers[zone].spot += 1;
+        sums.spot += 1;
+        sums.most_spot = sums.most_spot.max(numbers[zone].spot);
+    }
+}
+
+/// Places ordinary engines in the cheapest zones, beside those that the minimum of each zone needs.
+fn place_ordinary(limits: &Limits, zones: &[ZoneSupply], numbers: &mut [Numbers], ordinary: u32) {
+    let placed: u32 = numbers.iter().map(|n| n.ordinary).sum();
+    let mut left = ordinary.saturating_sub(placed);
+    let mut by_price: Vec<usize> = (0..zones.len()).collect();
+    by_price.sort_by(|a, b| zones[*a].price.total_cmp(&zones[*b].price));
+    for zone in by_price {
+        // The engines that the minimum needs may as well be these.
+        let spot = numbers[zone].spot;
+        numbers[zone].spot = spot.saturating_sub(left);
+        let more = left.min(limits.max - numbers[zone].all());
+        numbers[zone].ordinary += more;
+        left -= more;
+    }
+}
+
+/// Numbers of engines over all zones.
+#[derive(Debug, Clone, Copy)]
+struct Sums {
+    ordinary: u32,
+    spot: u32,
+    /// Spot engines of the zone with the most.
+    most_spot: u32,
+}
+
+impl Sums {
+    fn of(numbers: &[Numbers]) -> Self {
+        Self {
+            ordinary: numbers.iter().map(|n| n.ordinary).sum(),
+            spot: numbers.iter().map(|n| n.spot).sum(),
+            most_spot: numbers.iter().map(|n| n.spot).max().unwrap_or(0),
+        }
+    }
+}
+
+/// Engines that are missing.
+#[derive(Debug, Clone, Copy)]
+struct Lack {
+    urgent: f64,
+    /// Ordinary engines.
+    reserve: f64,
+    /// For the whole demand without headroom, before any loss.
+    present: f64,
+    whole: f64,
+    firm: f64,
+}
+
+impl Lack {
+    fn of(need: &Need, sums: Sums) -> Self {
+        let all = sums.ordinary + sums.spot;
+        // After the loss of the spot engines of the zone with the most.
+        let remaining = all - sums.most_spot;
+        let missing = |need: f64, engines: u32| (need - f64::from(engines) - 1e-6).max(0.0);
+        Self {
+            urgent: missing(need.urgent, remaining),
+            reserve: missing(need.reserve, sums.ordinary),
+            present: missing(need.firm, all),
+            whole: missing(need.whole, all),
+            firm: missing(need.firm, remaining),
+        }
+    }
+
+    /// Whether something is missing that is ordered at once.
+    fn is_any(&self) -> bool {
+        self.urgent > 0.0 || self.reserve > 0.0 || self.whole > 0.0
+    }
+}
+
+fn cost(limits: &Limits, zones: &[ZoneSupply], numbers: &[Numbers]) -> f64 {
+    let of_zone = |(zone, n): (&ZoneSupply, &Numbers)| {
+        zone.price * (f64::from(n.ordinary) + f64::from(n.spot) * limits.spot_price)
+    };
+    zones.iter().zip(numbers).map(of_zone).sum()
+}
+
+/// Engines of one kind in a zone.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct KindState {
+    /// Engines that serve and are not leaving.
+    pub serving: u32,
+    /// Those of them that are changing their phase or are about to.
+    pub changing: u32,
+    /// Engines that are listed as leaving.
+    pub leaving: u32,
+    /// Number that was ordered last, and when; `None` if this holder has not ordered any.
+    pub ordered: Option<(u32, u64)>,
+}
+
+impl KindState {
+    /// Returns the number of engines that is due once the orders so far are carried out.
+    fn expected(&self, limits: &Limits, now_ms: u64) -> u32 {
+        match self.ordered {
+            Some((ordered, at_ms)) if ordered > self.serving => {
+                let is_booting = now_ms < at_ms + limits.boot_ms + BOOT_SLACK_MS;
+                if is_booting { ordered } else { self.serving }
+            }
+            Some((ordered, at_ms)) if now_ms < at_ms + LEAVE_MS => ordered,
+            _ => self.serving,
+        }
+    }
+
+    /// Returns the number of engines that can be relied on now.
+    fn standing(&self, limits: &Limits, now_ms: u64) -> u32 {
+        let staying = self.serving.min(self.expected(limits, now_ms));
+        staying.saturating_sub(self.changing)
+    }
+
+    /// Returns the number of engines that boot.
+    pub fn booting(&self, limits: &Limits, now_ms: u64) -> u32 {
+        self.expected(limits, now_ms).saturating_sub(self.serving)
+    }
+
+    /// Returns the number of engines that were ordered away and are not listed as leaving yet.
+    pub fn given_back(&self, limits: &Limits, now_ms: u64) -> u32 {
+        self.serving.saturating_sub(self.expected(limits, now_ms))
+    }
+}
+
+/// Engines of a zone.
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
+pub struct ZoneState {
+    /// Price of an ordinary engine.
+    pub price: f64,
+    /// Ordinary engines.
+    pub ordinary: KindState,
+    /// Spot engines.
+    pub spot: KindState,
+}
+
+impl ZoneState {
+    fn of(&self, kind: EngineKind) -> &KindState {
+        match kind {
+            EngineKind::Ordinary => &self.ordinary,
+            EngineKind::Spot => &self.spot,
+        }
+    }
+
+    fn numbers(&self, of: impl Fn(&KindState) -> u32) -> Numbers {
+        Numbers {
+            ordinary: of(&self.ordinary),
+            spot: of(&self.spot),
+        }
+    }
+}
+
+/// Order for a number of engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Change {
+    /// Index of the zone.
+    pub zone: usize,
+    /// Kind of the engines.
+    pub kind: EngineKind,
+    /// Number of engines of this kind.
+    pub engines: u32,
+    /// Whether it is more than there are now.
+    pub is_raise: bool,
+}
+
+/// What a planner knows of the spot engines of a zone.
+#[derive(Debug, Default, Clone, Copy)]
+struct SpotMarket {
+    reclaimed_ms: Option<u64>,
+    refused_until_ms: u64,
+    refusals: u32,
+}
+
+/// Plans the orders for one service. It is created when a host becomes the holder.
+#[derive(Debug, Clone)]
+pub struct Planner {
+    markets: Vec<SpotMarket>,
+    last_step_ms: Option<u64>,
+    /// Since when fewer engines of each kind would have sufficed.
+    low_since_ms: [Option<u64>; 2],
+    /// Since when spot engines that the headroom needs have been missing.
+    short_since_ms: Option<u64>,
+}
+
+impl Planner {
+    /// Creates a planner for a number of zones.
+    pub fn new(zones: usize) -> Self {
+        Self {
+            markets: vec![SpotMarket::default(); zones],
+            last_step_ms: None,
+            low_since_ms: [None; 2],
+            short_since_ms: None,
+        }
+    }
+
+    /// Records that an order for spot engines of a zone was refused.
+    pub fn record_refusal(&mut self, zone: usize, now_ms: u64) {
+        let market = &mut self.markets[zone];
+        let pause_ms = REFUSED_MS << market.refusals.min(4);
+        market.refusals += 1;
+        market.refused_until_ms = now_ms + pause_ms.min(MAX_REFUSED_MS);
+    }
+
+    /// Records that an order for spot engines of a zone was carried out.
+    pub fn record_success(&mut self, zone: usize) {
+        self.markets[zone].refusals = 0;
+    }
+
+    /// Whether the spot engines of a zone were taken back within the last `within_ms`.
+    pub fn is_reclaimed(&self, zone: usize, within_ms: u64, now_ms: u64) -> bool {
+        let reclaimed_ms = self.markets[zone].reclaimed_ms;
+        reclaimed_ms.is_some_and(|reclaimed_ms| now_ms < reclaimed_ms + within_ms)
+    }
+
+    /// Notes which zones have lost their spot engines. Returns those that did so just now.
+    pub fn observe(&mut self, zones: &[ZoneState], now_ms: u64) -> Vec<usize> {
+        let mut lost = Vec::new();
+        for (at, (zone, market)) in zones.iter().zip(&mut self.markets).enumerate() {
+            let wanted = zone.spot.ordered.map_or(1, |(ordered, _)| ordered);
+            let is_reclaimed = zone.spot.leaving > 0 && zone.spot.serving < wanted;
+            let is_known = market
+                .reclaimed_ms
+                .is_some_and(|reclaimed_ms| now_ms < reclaimed_ms + RECLAIM_GAP_MS);
+            if is_reclaimed && !is_known {
+                market.reclaimed_ms = Some(now_ms);
+                market.refused_until_ms = market.refused_until_ms.max(now_ms + RECLAIM_MS);
+                lost.push(at);
+            }
+        }
+        lost
+    }
+
+    /// Returns the orders to give now. `may_lower` is `false` while the demand has not been observed
+    /// for long enough to give engines back.
+    pub fn plan(
+        &mut self,
+        limits: &Limits,
+        zones: &[ZoneState],
+        need: &Need,
+        may_lower: bool,
+        now_ms: u64,
+    ) -> Vec<Change> {
+        let zones = &self.without_reclaimed(zones)[..];
+        let expected: Vec<Numbers> = zones
+            .iter()
+            .map(|zone| zone.numbers(|kind| kind.expected(limits, now_ms)))
+            .collect();
+        let lacking = self.lacks(limits, zones, &expected, need, now_ms);
+        let target = self.target(limits, zones, &expected, need, now_ms);
+        let mut changes = self.raises(limits, zones, &expected, &target, lacking);
+        self.note_low(&expected, &target, now_ms);
+        if may_lower && !lacking {
+            let lowered = self.step_down(limits, zones, &expected, &target, need, now_ms);
+            changes.extend(lowered);
+        }
+        changes
+    }
+
+    /// Forgets orders for spot engines that were taken back after the order.
+    fn without_reclaimed(&self, zones: &[ZoneState]) -> Vec<ZoneState> {
+        let mut zones = zones.to_vec();
+        for (zone, market) in zones.iter_mut().zip(&self.markets) {
+            let ordered_ms = zone.spot.ordered.map(|(_, at_ms)| at_ms);
+            if ordered_ms <= market.reclaimed_ms && zone.spot.serving < 1 {
+                zone.spot.ordered = None;
+            }
+        }
+        zones
+    }
+
+    fn supply(
+        &self,
+        limits: &Limits,
+        zones: &[ZoneState],
+        expected: &[Numbers],
+        now_ms: u64,
+    ) -> Vec<ZoneSupply> {
+        let parts = zones.iter().zip(expected).zip(&self.markets);
+        parts
+            .map(|((zone, expected), market)| {
+                let is_refused = now_ms < market.refused_until_ms;
+                ZoneSupply {
+                    price: zone.price,
+                    max_spot: if is_refused {
+                        expected.spot
+                    } else {
+                        limits.max
+                    },
+                    // The order for them stands; it is repeated when they are to be had again.
+                    is_min_kept: is_refused && market.reclaimed_ms.is_some(),
+                }
+            })
+            .collect()
+    }
+
+    /// Whether engines must be ordered at once.
+    fn lacks(
+        &mut self,
+        limits: &Limits,
+        zones: &[ZoneState],
+        expected: &[Numbers],
+        need: &Need,
+        now_ms: u64,
+    ) -> bool {
+        let supply = self.supply(limits, zones, expected, now_ms);
+        let is_below_min = |(supply, numbers): (&ZoneSupply, &Numbers)| {
+            numbers.all() < limits.min && !supply.is_min_kept
+        };
+        let lack = Lack::of(need, Sums::of(expected));
+        if lack.whole <= 0.0 {
+            self.short_since_ms = None;
+        } else {
+            self.short_since_ms.get_or_insert(now_ms);
+        }
+        lack.is_any() || supply.iter().zip(expected).any(is_below_min)
+    }
+
+    fn target(
+        &self,
+        limits: &Limits,
+        zones: &[ZoneState],
+        expected: &[Numbers],
+        need: &Need,
+        now_ms: u64,
+    ) -> Vec<Numbers> {
+        let supply = self.supply(limits, zones, expected, now_ms);
+        let is_long_short = self
+            .short_since_ms
+            .is_some_and(|since_ms| now_ms >= since_ms + SHORTAGE_MS);
+        cheapest(limits, &supply, &need.with_band(), is_long_short)
+    }
+
+    /// Orders more engines: all that are lacking, and spot engines that are to replace ordinary ones.
+    fn raises(
+        &self,
+        limits: &Limits,
+        zones: &[ZoneState],
+        expected: &[Numbers],
+        target: &[Numbers],
+        lacking: bool,
+    ) -> Vec<Change> {
+        let prices: Vec<ZoneSupply> = zones
+            .iter()
+            .map(|zone| ZoneSupply {
+                price: zone.price,
+                ..ZoneSupply::default()
+            })
+            .collect();
+        let present_cost = cost(limits, &prices, expected);
+        let saving = present_cost - cost(limits, &prices, target);
+        let has_saving = saving > present_cost * MIN_SAVING_SHARE;
+        let mut changes = Vec::new();
+        for (zone, target) in target.iter().enumerate() {
+            let state = &zones[zone];
+            let mut after = expected[zone];
+            // Engines that are leaving still count against the maximum.
+            let held =
+                |kind: EngineKind, after: Numbers| after.of(kind).max(state.of(kind).serving);
+            for kind in [EngineKind::Spot, EngineKind::Ordinary] {
+                let is_wanted = lacking || (kind == EngineKind::Spot && has_saving);
+                let other = match kind {
+                    EngineKind::Spot => EngineKind::Ordinary,
+                    EngineKind::Ordinary => EngineKind::Spot,
+                };
+                let room = limits.max.saturating_sub(held(other, after));
+                let engines = target.of(kind).min(room);
+                // Engines that only save cost are not ordered one by one.
+                let few = after.of(kind) / 4 + 1;
+                let is_worth =
+                    lacking || (engines == target.of(kind) && engines >= after.of(kind) + few);
+                if is_wanted && is_worth && engines > after.of(kind) {
+                    *after.of_mut(kind) = engines;
+                    changes.push(Change {
+                        zone,
+                        kind,
+                        engines,
+                        is_raise: true,
+                    });
+                }
+            }
+        }
+        changes
+    }
+
+    fn note_low(&mut self, expected: &[Numbers], target: &[Numbers], now_ms: u64) {
+        let kinds = [EngineKind::Ordinary, EngineKind::Spot];
+        for (since_ms, kind) in self.low_since_ms.iter_mut().zip(kinds) {
+            let sum = |numbers: &[Numbers]| numbers.iter().map(|n| n.of(kind)).sum::<u32>();
+            if sum(target) < sum(expected) {
+                since_ms.get_or_insert(now_ms);
+            } else {
+                *since_ms = None;
+            }
+        }
+    }
+
+    /// Gives back a few engines of the zone where they cost most, if those that serve now suffice
+    /// without them.
+    fn step_down(
+        &mut self,
+        limits: &Limits,
+        zones: &[ZoneState],
+        expected: &[Numbers],
+        target: &[Numbers],
+        need: &Need,
+        now_ms: u64,
+    ) -> Option<Change> {
+        let is_pausing = self
+            .last_step_ms
+            .is_some_and(|last_ms| now_ms < last_ms + STEP_MS);
+        let is_leaving = zones.iter().any(|zone| {
+            zone.ordinary.given_back(limits, now_ms) + zone.spot.given_back(limits, now_ms) > 0
+        });
+        if is_pausing || is_leaving {
+            return None;
+        }
+        let is_low = |since_ms: Option<u64>, low_ms| {
+            since_ms.is_some_and(|since_ms| now_ms >= since_ms + low_ms)
+        };
+        let spot = Sums::of(expected).spot;
+        let excess_spot = spot.saturating_sub(Sums::of(target).spot);
+        let is_spot_worth = excess_spot >= ((f64::from(spot) * MIN_SPOT_EXCESS) as u32).max(2);
+        let kind = if is_low(self.low_since_ms[0], LOW_MS) {
+            EngineKind::Ordinary
+        } else if is_spot_worth && is_low(self.low_since_ms[1], LOW_SPOT_MS) {
+            EngineKind::Spot
+        } else {
+            return None;
+        };
+        let excess = |zone: usize| {
+            expected[zone]
+                .of(kind)
+                .saturating_sub(target[zone].of(kind))
+        };
+        let zone = (0..zones.len())
+            .filter(|zone| excess(*zone) > 0)
+            .max_by(|a, b| zones[*a].price.total_cmp(&zones[*b].price))?;
+        let standing: Vec<Numbers> = zones
+            .iter()
+            .map(|zone| zone.numbers(|kind| kind.standing(limits, now_ms)))
+            .collect();
+        let serving: u32 = standing.iter().map(|n| n.all()).sum();
+        let step = ((f64::from(serving) * STEP_SHARE) as u32).max(1);
+        let banded = need.with_band();
+        for fewer in (1..=excess(zone).min(step)).rev() {
+            let engines = expected[zone].of(kind) - fewer;
+            let mut after = standing.clone();
+            *after[zone].of_mut(kind) = engines.min(standing[zone].of(kind));
+            let is_above_min = expected[zone].all() - fewer >= limits.min;
+            if is_above_min && !Lack::of(&banded, Sums::of(&after)).is_any() {
+                self.last_step_ms = Some(now_ms);
+                return Some(Change {
+                    zone,
+                    kind,
+                    engines,
+                    is_raise: false,
+                });
+            }
+        }
+        None
+    }
+}
