--- a/crates/yucca-serve/tests/scaling.rs
+++ b/crates/yucca-serve/tests/scaling.rs
@@ -178,7 +178,7 @@
     loop {
         wait_ms(100).await;
         if load.get() > 0.0 {
-            let is_urgent = host.draw() % 2 == 0;
+            let is_urgent = host.draw().is_multiple_of(2);
             drop(DemandGuard::begin(
                 &host,
                 "model",
@@ -347,10 +347,10 @@
         let calls = fleet.calls();
         for zone in ZONES {
             for is_spot in [false, true] {
-                let of_pool = calls
+                let mut of_pool = calls
                     .iter()
                     .filter(|call| call.order.zone == zone && call.order.is_spot == is_spot);
-                let last = of_pool.last().map(|call| call.order.engines);
+                let last = of_pool.next_back().map(|call| call.order.engines);
                 let ordered = fleet.platform.ordered.borrow();
                 let in_effect = ordered.get(&(zone.to_owned(), is_spot)).copied();
                 assert!(last.is_none() || last == in_effect);
