--- a/crates/yucca-serve/tests/roles.rs
+++ b/crates/yucca-serve/tests/roles.rs
@@ -323,9 +323,11 @@
                 booting: u32::from(is_pending),
                 given_back: 0,
             };
-            let mut all = running.host.pending_engines.borrow_mut();
-            all.insert("model".to_owned(), pending);
-            drop(all);
+            running
+                .host
+                .pending_engines
+                .borrow_mut()
+                .insert("model".to_owned(), pending);
             spawn_local(add_prefills(Rc::clone(&running.host)));
             wait_ms(20_000).await;
             assert_eq!(fences(&running).is_empty(), is_pending);
