--- a/crates/system-tests/src/fleet.rs
+++ b/crates/system-tests/src/fleet.rs
@@ -47,6 +47,15 @@
     ///
     /// If a process does not start or a host does not become ready.
     pub fn spawn(test: &str, size: FleetSize) -> Self {
+        Self::spawn_limited(test, size, "")
+    }
+
+    /// As [`Fleet::spawn`]; `limits` are the lines of the section `limits` of the settings.
+    ///
+    /// # Panics
+    ///
+    /// As [`Fleet::spawn`].
+    pub fn spawn_limited(test: &str, size: FleetSize, limits: &str) -> Self {
         let directory =
             std::env::temp_dir().join(format!("yuccacove-{test}-{}", std::process::id()));
         std::fs::create_dir_all(&directory).expect("cannot create the test directory");
@@ -57,7 +66,7 @@
             decode_tokens_per_s: size.decode_tokens_per_s,
             caller: Caller::default(),
         };
-        fleet.write_files(size);
+        fleet.write_files(size, limits);
         fleet.start_store();
         for index in 1..=size.engines {
             fleet.start_engine(index, index != size.engines);
@@ -253,11 +262,12 @@
         });
     }
 
-    fn write_files(&self, size: FleetSize) {
+    fn write_files(&self, size: FleetSize, limits: &str) {
         let write = |file: &str, text: String| {
             std::fs::write(Path::new(&self.path(file)), text).expect("cannot write the test file");
         };
-        write("fleet.ini", self.settings(size));
+        let settings = format!("{}\n[limits]\n{limits}", self.settings(size));
+        write("fleet.ini", settings);
         write("catalogue.ini", self.catalogue(size));
     }
 
--- a/crates/system-tests/src/process.rs
+++ b/crates/system-tests/src/process.rs
@@ -79,6 +79,11 @@
             .is_some()
     }
 
+    /// Id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Standard output and standard error of the process so far.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
