--- a/crates/yucca-emulator/src/simulation.rs
+++ b/crates/yucca-emulator/src/simulation.rs
@@ -179,6 +179,8 @@
         lease_ms: 3_000,
         heartbeat_ms: 1_200,
         memory_bytes: 260_000_000,
+        caller_descriptors: 4_096,
+        progress_timeout_ms: 15_000,
         revoke_ms: None,
         usage: None,
         duty_per_s: 50.0,
--- a/crates/yucca-entry/src/engine_stream.rs
+++ b/crates/yucca-entry/src/engine_stream.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST};
 use http::{Method, Request, Response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde::Deserialize;
 use serde_json::{Value, json};
@@ -18,6 +18,7 @@
 use crate::probe;
 use crate::sse::SseParser;
 use yucca_io::connections::{Connection, Pool};
+use yucca_io::segmented_body::SegmentedBody;
 
 /// A chat request as an engine receives it.
 #[derive(Debug, Clone)]
@@ -45,7 +46,7 @@
 }
 
 impl EngineRequest {
-    fn to_http(&self) -> Result<Request<Full<Bytes>>, http::Error> {
+    fn to_http(&self) -> Result<Request<SegmentedBody>, http::Error> {
         let mut body = self.body.clone();
         body["model"] = json!(self.model);
         body["stream"] = json!(true);
@@ -66,7 +67,7 @@
             request = request.header("x-resume-from", self.next_index);
             body["resume_text"] = json!(self.text_so_far);
         }
-        request.body(Full::new(Bytes::from(body.to_string())))
+        request.body(SegmentedBody::from(Bytes::from(body.to_string())))
     }
 }
 
--- a/crates/yucca-entry/src/plain.rs
+++ b/crates/yucca-entry/src/plain.rs
@@ -14,6 +14,7 @@
 use crate::choose::ChosenServer;
 use crate::host::Host;
 use yucca_io::connections::Connection;
+use yucca_io::segmented_body::SegmentedBody;
 
 /// Largest response of a plain service; responses are read completely and checked before they are
 /// forwarded.
@@ -135,7 +136,7 @@
     })
 }
 
-fn to_http(server: &ChosenServer, call: &PlainCall) -> Result<Request<Full<Bytes>>, http::Error> {
+fn to_http(server: &ChosenServer, call: &PlainCall) -> Result<Request<SegmentedBody>, http::Error> {
     let left = call.deadline.saturating_duration_since(Instant::now());
     let mut request = Request::builder()
         .method(call.method.clone())
@@ -143,7 +144,7 @@
         .header(HOST, server.address.to_string())
         .header("x-request-id", &call.request_id)
         .header("x-deadline-ms", left.as_millis().max(1).to_string())
-        .body(Full::new(call.body.clone()))?;
+        .body(SegmentedBody::from(call.body.clone()))?;
     let forwarded = FORWARDED_REQUEST_HEADERS
         .into_iter()
         .map(HeaderName::from_static)
@@ -159,7 +160,7 @@
 
 async fn send_request(
     connection: &mut Connection,
-    request: Request<Full<Bytes>>,
+    request: Request<SegmentedBody>,
     limit: Duration,
 ) -> Result<Response<Incoming>, Fault> {
     match timeout(limit, connection.send(request)).await {
--- a/crates/yucca-entry/src/probe.rs
+++ b/crates/yucca-entry/src/probe.rs
@@ -6,11 +6,12 @@
 use bytes::Bytes;
 use http::header::HOST;
 use http::{Method, Request};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use tokio::time::timeout;
 
 use yucca_io::connections::Connection;
 use yucca_io::http_client::EngineReport;
+use yucca_io::segmented_body::SegmentedBody;
 
 /// Largest body of a response, such as a status report.
 const MAX_STATUS_BYTES: usize = 64 * 1_024;
@@ -53,7 +54,7 @@
             .method(method)
             .uri(path)
             .header(HOST, address.to_string())
-            .body(Full::new(Bytes::new()))
+            .body(SegmentedBody::default())
             .map_err(|e| e.to_string())?;
         let response = connection.send(request).await.map_err(|e| e.to_string())?;
         let status = response.status().as_u16();
--- a/crates/yucca-io/src/connections.rs
+++ b/crates/yucca-io/src/connections.rs
@@ -6,9 +6,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -17,6 +15,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::segmented_body::SegmentedBody;
+
 /// Size of the read buffer, which is also the maximum size of a response's head. A backend that sends
 /// informational responses without end fills the buffer up to 128 times before other tasks of the
 /// thread run, so that it must be small.
@@ -39,7 +39,7 @@
 /// An open HTTP/1 connection. Dropping it closes it immediately, even if the peer is unresponsive.
 #[derive(Debug)]
 pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<SegmentedBody>,
     driver: AbortHandle,
     address: SocketAddr,
     is_reused: bool,
@@ -101,7 +101,7 @@
     /// Any error of `hyper`. The request may have reached the backend.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<SegmentedBody>,
     ) -> Result<Response<Incoming>, hyper::Error> {
         self.sender.send_request(request).await
     }
@@ -114,7 +114,7 @@
     /// [`SendError::Sent`].
     pub async fn try_send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<SegmentedBody>,
     ) -> Result<Response<Incoming>, SendError> {
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
@@ -175,6 +175,10 @@
     limit: Duration,
 }
 
+fn count(idle: &HashMap<SocketAddr, Vec<Idle>>) -> usize {
+    idle.values().map(Vec::len).sum()
+}
+
 /// Pool of idle connections, by backend address.
 #[derive(Debug)]
 pub struct Pool {
@@ -182,6 +186,7 @@
     connect_timeout_ms: u64,
     idle_limit: Duration,
     probes: u32,
+    max_idle: usize,
 }
 
 impl Pool {
@@ -193,9 +198,16 @@
             connect_timeout_ms,
             idle_limit: Duration::from_millis(idle_ms),
             probes: KEEPALIVE_PROBES,
+            max_idle: usize::MAX,
         }
     }
 
+    /// Limits the number of idle connections to all backends together.
+    pub fn with_max_idle(mut self, max_idle: usize) -> Self {
+        self.max_idle = max_idle;
+        self
+    }
+
     /// Configures the pool to detect unresponsive connections within two seconds, at the risk of
     /// closing a healthy one after packet loss.
     pub fn with_quick_probes(mut self) -> Self {
@@ -258,6 +270,14 @@
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        if self.max_idle < usize::MAX && count(&idle) >= self.max_idle {
+            for idle in idle.values_mut() {
+                idle.retain(|i| i.since.elapsed() < i.limit);
+            }
+            if count(&idle) >= self.max_idle {
+                return;
+            }
+        }
         let idle = idle.entry(connection.address).or_default();
         idle.retain(|i| i.since.elapsed() < i.limit);
         if idle.len() < MAX_IDLE_PER_BACKEND {
--- a/crates/yucca-serve/src/caller_body.rs
+++ b/crates/yucca-serve/src/caller_body.rs
@@ -1,14 +1,17 @@
 //! Reads the body of a caller's request within its own limit and the host's memory.
 
+use std::hash::{Hash, Hasher};
 use std::rc::Rc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body::Body;
 use http_body_util::BodyExt;
 use tokio::time::{Duration, timeout};
 use yuccacove::code::Code;
 use yuccacove::memory_budget::Purpose;
 
+use crate::body_buffer::BodyBuffer;
+use crate::connections::{CallerConnection, refusal_code};
 use crate::memory::{Memory, MemoryGuard};
 
 /// Longest time for which the rest of a refused body is read, so that its caller gets the refusal.
@@ -17,21 +20,41 @@
 /// A complete body, with the memory that is reserved for it.
 #[derive(Debug, Clone, Default)]
 pub struct CallerBody {
-    bytes: Bytes,
+    segments: Vec<Bytes>,
     _memory: Option<Rc<MemoryGuard>>,
 }
 
 impl CallerBody {
-    /// Returns the bytes.
-    pub fn bytes(&self) -> &Bytes {
-        &self.bytes
+    /// Returns the parts of the body in order.
+    pub fn segments(&self) -> &[Bytes] {
+        &self.segments
+    }
+
+    /// Returns the number of bytes.
+    pub fn len(&self) -> usize {
+        self.segments.iter().map(Bytes::len).sum()
+    }
+
+    /// Whether there are no bytes.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+/// Two bodies with the same bytes have the same hash, whatever their segments are.
+impl Hash for CallerBody {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        state.write_usize(self.len());
+        for segment in &self.segments {
+            state.write(segment);
+        }
     }
 }
 
 impl From<Bytes> for CallerBody {
     fn from(bytes: Bytes) -> Self {
         Self {
-            bytes,
+            segments: vec![bytes],
             _memory: None,
         }
     }
@@ -41,13 +64,15 @@
 ///
 /// # Errors
 ///
-/// [`Code::BodyTooLarge`] if it is longer, [`Code::Overloaded`] if the host's memory is in use, and
-/// [`Code::BadRequest`] if it breaks off or is malformed.
+/// [`Code::BodyTooLarge`] if it is longer, [`Code::Overloaded`] if the host's memory is in use,
+/// [`Code::BodyTimeout`] if it makes no progress, and [`Code::BadRequest`] if it breaks off or is
+/// malformed.
 pub async fn read<B>(
     mut body: B,
     declared_bytes: Option<usize>,
     max_bytes: usize,
     memory: &Memory,
+    caller: &CallerConnection,
 ) -> Result<CallerBody, Code>
 where
     B: Body<Data = Bytes> + Unpin,
@@ -55,31 +80,43 @@
     if declared_bytes.is_some_and(|bytes| bytes > max_bytes) {
         return Err(Code::BodyTooLarge);
     }
-    let expected_bytes = declared_bytes.unwrap_or(0);
-    if !memory.has_room(Purpose::Request, expected_bytes) {
+    let guard = memory.guard(Purpose::Request);
+    let mut buffer = BodyBuffer::new(guard, declared_bytes, max_bytes);
+    // Memory is reserved segment by segment, so that callers who announce a body and do not send it keep
+    // nobody out.
+    let fits = || memory.has_room(Purpose::Request, declared_bytes.unwrap_or(0));
+    if !caller.reserve_body(fits).await {
         discard(&mut body, max_bytes).await;
         return Err(Code::Overloaded);
     }
-    let mut guard = memory.guard(Purpose::Request);
-    // The pages of the buffer are used only as bytes arrive.
-    let mut bytes = BytesMut::with_capacity(expected_bytes);
-    while let Some(frame) = body.frame().await {
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            reason = caller.closing() => return Err(refusal_code(reason)),
+        };
+        let Some(frame) = frame else {
+            break;
+        };
         let Ok(data) = frame.map_err(|_| Code::BadRequest)?.into_data() else {
             // Trailers are not forwarded.
             continue;
         };
-        if bytes.len() + data.len() > max_bytes {
+        if buffer.len() + data.len() > max_bytes {
             return Err(Code::BodyTooLarge);
         }
-        if !guard.grow(data.len()) {
-            drop((bytes, guard));
+        if !caller.reserve_body(|| buffer.try_reserve(data.len())).await {
+            drop(buffer);
             discard(&mut body, max_bytes).await;
             return Err(Code::Overloaded);
         }
-        bytes.extend_from_slice(&data);
+        // There is room for it.
+        let _ = buffer.try_push(&data);
+        caller.set_held(buffer.capacity());
     }
+    let (segments, guard) = buffer.finish();
     Ok(CallerBody {
-        bytes: bytes.freeze(),
+        segments,
         _memory: Some(Rc::new(guard)),
     })
 }
--- /dev/null
+++ b/crates/yucca-serve/src/connections.rs
@@ -0,0 +1,338 @@
+//! Connections of callers: their number and memory are limited, and those that make least progress are
+//! closed first.
+//!
+//! [`yuccacove::connection_budget`] decides; this module holds the connections and tells them to close.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+use tokio::sync::Notify;
+use tokio::task::yield_now;
+use tokio::time::{Duration, Instant, sleep};
+use yucca_io::log;
+use yuccacove::code::Code;
+use yuccacove::connection_budget::{
+    CloseReason, Closing, ConnectionBudget, ConnectionKey, Phase, Shortage, Timeouts,
+};
+use yuccacove::event::Event;
+use yuccacove::memory_budget::Purpose;
+
+use crate::memory::{Memory, MemoryGuard};
+
+/// Memory of an open connection: its state and hyper's read buffer.
+const CONNECTION_BYTES: usize = 24 * 1_024;
+/// Memory of a request in progress beside its body: its state, and its connection to a backend.
+const REQUEST_BYTES: usize = 32 * 1_024;
+/// Number of times that a reservation is tried again after a connection was told to close.
+const MAX_RELIEF_TRIES: u32 = 8;
+/// Interval at which callers that have taken too long are looked for.
+const CHECK_INTERVAL_MS: u64 = 250;
+/// Shortest delay of a check that counts as a pause of the process.
+const MIN_PAUSE_MS: u64 = 100;
+/// Least time between two log lines on closed connections.
+const LOG_INTERVAL_MS: u64 = 1_000;
+
+/// Numbers of what was closed and refused, since the start.
+#[derive(Debug, Default)]
+pub struct ClosedConnections {
+    by_reason: RefCell<IndexMap<CloseReason, u64>>,
+    refused: Cell<u64>,
+    refused_bodies: Cell<u64>,
+}
+
+impl ClosedConnections {
+    /// Returns the number of connections that were closed for a reason.
+    pub fn count(&self, reason: CloseReason) -> u64 {
+        let by_reason = self.by_reason.borrow();
+        by_reason.get(&reason).copied().unwrap_or(0)
+    }
+
+    /// Returns the number of connections that were not accepted.
+    pub fn refused(&self) -> u64 {
+        self.refused.get()
+    }
+
+    /// Returns the number of requests that were refused for their body.
+    pub fn refused_bodies(&self) -> u64 {
+        self.refused_bodies.get()
+    }
+
+    /// Counts a request that was refused for its body.
+    pub fn record_refused_body(&self) {
+        self.refused_bodies.set(self.refused_bodies.get() + 1);
+    }
+
+    fn record(&self, reason: CloseReason) {
+        *self.by_reason.borrow_mut().entry(reason).or_default() += 1;
+    }
+
+    /// Returns all numbers as fields of a log line.
+    fn fields(&self) -> String {
+        let reasons = CloseReason::ALL.iter();
+        let counts: Vec<String> = reasons
+            .map(|reason| format!("{}={}", reason.name(), self.count(*reason)))
+            .collect();
+        let (refused, bodies) = (self.refused(), self.refused_bodies());
+        format!("{} refused={refused} bodies={bodies}", counts.join(" "))
+    }
+}
+
+/// Open connections of callers. Clones share them.
+#[derive(Debug, Clone)]
+pub struct Connections {
+    shared: Rc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    budget: RefCell<ConnectionBudget>,
+    signals: RefCell<IndexMap<ConnectionKey, Rc<CloseSignal>>>,
+    memory: Memory,
+    closed: ClosedConnections,
+    started: Instant,
+}
+
+/// Tells the tasks of a connection to close it.
+#[derive(Debug, Default)]
+struct CloseSignal {
+    reason: Cell<Option<CloseReason>>,
+    notify: Notify,
+}
+
+impl Connections {
+    /// Creates the connections of a process whose callers, with the backend connections of their
+    /// requests, may use `max_descriptors`.
+    pub fn new(max_descriptors: usize, memory: Memory) -> Self {
+        Self {
+            shared: Rc::new(Shared {
+                budget: RefCell::new(ConnectionBudget::new(max_descriptors)),
+                signals: RefCell::default(),
+                memory,
+                closed: ClosedConnections::default(),
+                started: Instant::now(),
+            }),
+        }
+    }
+
+    /// Returns the number of open connections.
+    pub fn count(&self) -> usize {
+        self.shared.budget.borrow().count()
+    }
+
+    /// Returns the numbers of what was closed and refused.
+    pub fn closed(&self) -> &ClosedConnections {
+        &self.shared.closed
+    }
+
+    /// Adds a connection, for which others may be closed. Returns `None` if there is no room for it.
+    pub async fn open(&self) -> Option<CallerConnection> {
+        for _ in 0..=MAX_RELIEF_TRIES {
+            let mut memory = self.shared.memory.guard(Purpose::Connection);
+            let shortage = if !self.shared.budget.borrow().has_room(1) {
+                Shortage::Descriptors
+            } else if !memory.grow(CONNECTION_BYTES) {
+                Shortage::ConnectionMemory
+            } else {
+                return Some(self.add(memory));
+            };
+            if !self.relieve(shortage) {
+                break;
+            }
+            yield_now().await;
+        }
+        let refused = &self.shared.closed.refused;
+        refused.set(refused.get() + 1);
+        None
+    }
+
+    fn add(&self, memory: MemoryGuard) -> CallerConnection {
+        let key = self.shared.budget.borrow_mut().open(self.now_ms());
+        let signal = Rc::new(CloseSignal::default());
+        let mut signals = self.shared.signals.borrow_mut();
+        signals.insert(key, Rc::clone(&signal));
+        CallerConnection {
+            connections: self.clone(),
+            key,
+            signal,
+            memory: RefCell::new(memory),
+        }
+    }
+
+    /// Tells the connection that makes least progress to close. Returns `false` if none may be closed.
+    pub fn relieve(&self, shortage: Shortage) -> bool {
+        let now_ms = self.now_ms();
+        let closing = self.shared.budget.borrow_mut().choose(shortage, now_ms);
+        closing.inspect(|closing| self.signal(*closing)).is_some()
+    }
+
+    fn signal(&self, closing: Closing) {
+        self.shared.closed.record(closing.reason);
+        if let Some(signal) = self.shared.signals.borrow().get(&closing.key) {
+            signal.reason.set(Some(closing.reason));
+            signal.notify.notify_waiters();
+        }
+    }
+
+    /// Closes the connections whose callers take too long, for as long as the process runs, and logs at
+    /// most once a second what was closed. `report` is called after each check.
+    pub async fn check(self, timeouts: impl Fn() -> Timeouts, report: impl Fn()) {
+        let mut checked_ms = self.now_ms();
+        let mut logged_ms = checked_ms;
+        let mut logged = String::new();
+        loop {
+            sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
+            let now_ms = self.now_ms();
+            let late_ms = (now_ms - checked_ms).saturating_sub(CHECK_INTERVAL_MS);
+            checked_ms = now_ms;
+            let overdue = {
+                let mut budget = self.shared.budget.borrow_mut();
+                if late_ms >= MIN_PAUSE_MS {
+                    budget.exclude_pause(late_ms, now_ms);
+                }
+                budget.overdue(timeouts(), now_ms)
+            };
+            for closing in overdue {
+                self.signal(closing);
+            }
+            report();
+            if now_ms - logged_ms >= LOG_INTERVAL_MS {
+                let fields = self.shared.closed.fields();
+                if !logged.is_empty() && fields != logged {
+                    let open = self.count();
+                    log::write(Event::ConnectionsClosed, &format!("open={open} {fields}"));
+                }
+                logged = fields;
+                logged_ms = now_ms;
+            }
+        }
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.shared.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
+/// An open connection of a caller; dropping it releases its place and its memory.
+#[derive(Debug)]
+pub struct CallerConnection {
+    connections: Connections,
+    key: ConnectionKey,
+    signal: Rc<CloseSignal>,
+    memory: RefCell<MemoryGuard>,
+}
+
+impl CallerConnection {
+    /// Returns the reason once the connection has to be closed.
+    pub async fn closing(&self) -> CloseReason {
+        loop {
+            let notified = self.signal.notify.notified();
+            if let Some(reason) = self.signal.reason.get() {
+                return reason;
+            }
+            notified.await;
+        }
+    }
+
+    /// Begins a request, whose body arrives next.
+    pub fn begin_request(&self) {
+        self.set_phase(Phase::Body);
+    }
+
+    /// Begins to run a request that has arrived completely. Other connections may be closed for it.
+    /// Returns `false` if there is no room for it.
+    pub async fn run_request(&self) -> bool {
+        for _ in 0..=MAX_RELIEF_TRIES {
+            let has_descriptor = self.connections.shared.budget.borrow().has_room(1);
+            let shortage = if !has_descriptor {
+                Shortage::Descriptors
+            } else if !self
+                .memory
+                .borrow_mut()
+                .resize(CONNECTION_BYTES + REQUEST_BYTES)
+            {
+                Shortage::ConnectionMemory
+            } else {
+                self.set_phase(Phase::Running);
+                return true;
+            };
+            if !self.connections.relieve(shortage) {
+                return false;
+            }
+            yield_now().await;
+        }
+        false
+    }
+
+    /// Ends a request.
+    pub fn end_request(&self) {
+        // A smaller size is always granted.
+        let _ = self.memory.borrow_mut().resize(CONNECTION_BYTES);
+        self.set_held(0);
+        self.set_phase(Phase::Idle);
+    }
+
+    /// Whether a request is in progress, in part or completely received.
+    pub fn is_receiving_body(&self) -> bool {
+        self.connections.shared.budget.borrow().phase(self.key) == Some(Phase::Body)
+    }
+
+    /// Records the size of the body or the response that the connection holds.
+    pub fn set_held(&self, bytes: usize) {
+        let mut budget = self.connections.shared.budget.borrow_mut();
+        budget.set_held(self.key, bytes);
+    }
+
+    /// Records bytes that the caller has sent.
+    pub fn record_received(&self, bytes: usize) {
+        let now_ms = self.connections.now_ms();
+        let mut budget = self.connections.shared.budget.borrow_mut();
+        budget.record_received(self.key, bytes, now_ms);
+    }
+
+    /// Records whether the caller has just taken bytes, or takes none although there are some for it.
+    pub fn record_sent(&self, is_taken: bool) {
+        let now_ms = self.connections.now_ms();
+        let mut budget = self.connections.shared.budget.borrow_mut();
+        budget.record_sent(self.key, is_taken, now_ms);
+    }
+
+    /// Calls `reserve` until it succeeds, and closes other connections in between. Returns `false` if
+    /// none may be closed any more.
+    pub async fn reserve_body(&self, mut reserve: impl FnMut() -> bool) -> bool {
+        for _ in 0..MAX_RELIEF_TRIES {
+            if reserve() {
+                return true;
+            }
+            if !self.connections.relieve(Shortage::BodyMemory) {
+                return false;
+            }
+            yield_now().await;
+        }
+        reserve()
+    }
+
+    fn set_phase(&self, phase: Phase) {
+        let now_ms = self.connections.now_ms();
+        let mut budget = self.connections.shared.budget.borrow_mut();
+        budget.set_phase(self.key, phase, now_ms);
+    }
+}
+
+impl Drop for CallerConnection {
+    fn drop(&mut self) {
+        let shared = &self.connections.shared;
+        shared.budget.borrow_mut().close(self.key);
+        shared.signals.borrow_mut().swap_remove(&self.key);
+    }
+}
+
+/// Returns the code of a request that is refused because its connection closes while its body arrives.
+pub fn refusal_code(reason: CloseReason) -> Code {
+    match reason {
+        CloseReason::HeadTimeout | CloseReason::BodyTimeout => Code::BodyTimeout,
+        CloseReason::Descriptors | CloseReason::Memory | CloseReason::UnreadResponse => {
+            Code::Overloaded
+        }
+    }
+}
--- a/crates/yucca-serve/src/crashes.rs
+++ b/crates/yucca-serve/src/crashes.rs
@@ -48,7 +48,7 @@
         &request.host,
         &request.path_and_query,
         part_ids,
-        request.body.bytes(),
+        &request.body,
     ))
 }
 
--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -17,6 +17,7 @@
 use crate::boot_clock::BootClock;
 use crate::config::ServingConfig;
 use crate::config_order::ConfigOrder;
+use crate::connections::Connections;
 use crate::directory::{BackendKey, Directory};
 use crate::hash::hash_of;
 use crate::loads::Reservation;
@@ -57,6 +58,10 @@
     pub heartbeat_ms: u64,
     /// Memory that the process may use, in bytes.
     pub memory_bytes: usize,
+    /// Descriptors that callers may use, with the backend connections of their requests.
+    pub caller_descriptors: usize,
+    /// Longest time without progress of a request's body or of a response that its caller reads.
+    pub progress_timeout_ms: u64,
     /// Time for which a withdrawn API key may still be accepted; `None` if it is not limited.
     pub revoke_ms: Option<u64>,
     /// Reports of usage; `None` if none are due.
@@ -104,8 +109,10 @@
     pub relay: Relay,
     /// Notified when there are updates to send to the other hosts.
     pub peer_updates: Notify,
-    /// Memory for bodies.
+    /// Memory for bodies and connections.
     pub memory: Memory,
+    /// Open connections of callers.
+    pub connections: Connections,
     /// Demand for the model engines, over all hosts.
     pub demand: RefCell<PoolDemand>,
     /// Requests and parts of prompts that crash the backends that run them.
@@ -141,10 +148,12 @@
         let shutdown = Shutdown::new(deployment.grace_ms);
         let relay = Relay::new(&deployment.name, deployment.change_bound_ms());
         let memory = Memory::new(deployment.memory_bytes);
+        let connections = Connections::new(deployment.caller_descriptors, memory.clone());
         let recency = deployment.revoke_ms.map(ConfigRecency::new);
         Self {
             deployment,
             memory,
+            connections,
             relay,
             backends,
             directory: RefCell::default(),
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -23,11 +23,13 @@
 //! ```
 
 mod authentication;
+pub mod body_buffer;
 pub mod boot_clock;
 pub mod caller_body;
 pub mod choose;
 pub mod config;
 pub mod config_order;
+pub mod connections;
 pub mod crashes;
 pub mod directory;
 pub mod events;
--- a/crates/yucca-serve/src/memory.rs
+++ b/crates/yucca-serve/src/memory.rs
@@ -1,4 +1,4 @@
-//! Memory for bodies, which is reserved as their bytes arrive.
+//! Memory for bodies and connections, which is reserved before it is allocated.
 //!
 //! [`yuccacove::memory_budget`] decides; this module holds what was reserved.
 
@@ -7,7 +7,7 @@
 
 use yuccacove::memory_budget::{MemoryBudget, Purpose};
 
-/// Memory of a host for bodies. Clones share it.
+/// Memory of a host for bodies and connections. Clones share it.
 #[derive(Debug, Clone)]
 pub struct Memory {
     budget: Rc<RefCell<MemoryBudget>>,
@@ -26,6 +26,11 @@
         self.budget.borrow().used_bytes()
     }
 
+    /// Returns how many bytes are in use for a purpose.
+    pub fn used_for(&self, purpose: Purpose) -> usize {
+        self.budget.borrow().used_for(purpose)
+    }
+
     /// Whether `bytes` more could be reserved now.
     pub fn has_room(&self, purpose: Purpose, bytes: usize) -> bool {
         self.budget.borrow().has_room(purpose, bytes)
--- a/crates/yucca-serve/src/metrics.rs
+++ b/crates/yucca-serve/src/metrics.rs
@@ -10,7 +10,11 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 use yuccacove::code::Code;
+use yuccacove::connection_budget::CloseReason;
+use yuccacove::memory_budget::Purpose;
 
+use crate::connections::Connections;
+use crate::memory::Memory;
 use crate::store_calls::StoreCalls;
 
 /// Upper bounds of the histogram buckets, close to the usual targets for latency and for gaps
@@ -29,6 +33,16 @@
     urgency: u8,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByReason {
+    reason: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByPurpose {
+    purpose: &'static str,
+}
+
 type HistogramByUrgency = Family<ByUrgency, Histogram, fn() -> Histogram>;
 
 /// Counters and histograms that are updated for each request.
@@ -44,8 +58,14 @@
     pub invalid_responses: Counter,
     /// Requests and parts of prompts that are refused because they crashed backends.
     pub refused_parts: Gauge,
+    /// Open connections of callers.
+    pub connections: Gauge,
+    /// Connections of callers that were not accepted.
+    pub refused_connections: Counter,
     /// Calls to the object store.
     pub store_calls: Rc<StoreCalls>,
+    closed_connections: Family<ByReason, Counter>,
+    memory: Family<ByPurpose, Gauge>,
     refused: Family<ByCode, Counter>,
     failed: Family<ByCode, Counter>,
     response_s: HistogramByUrgency,
@@ -62,6 +82,10 @@
             engine_crashes: Counter::default(),
             invalid_responses: Counter::default(),
             refused_parts: Gauge::default(),
+            connections: Gauge::default(),
+            refused_connections: Counter::default(),
+            closed_connections: Family::default(),
+            memory: Family::default(),
             store_calls: Rc::default(),
             refused: Family::default(),
             failed: Family::default(),
@@ -85,6 +109,28 @@
         self.refused.get_or_create(&label).inc();
     }
 
+    /// Records the open connections of callers, why others were closed, and the memory in use.
+    pub fn record_connections(&self, connections: &Connections, memory: &Memory) {
+        let as_gauge = |value| i64::try_from(value).unwrap_or(i64::MAX);
+        self.connections.set(as_gauge(connections.count()));
+        let closed = connections.closed();
+        raise_to(&self.refused_connections, closed.refused());
+        for reason in CloseReason::ALL {
+            let label = ByReason {
+                reason: reason.name(),
+            };
+            let counter = self.closed_connections.get_or_create(&label);
+            raise_to(&counter, closed.count(reason));
+        }
+        for purpose in Purpose::ALL {
+            let label = ByPurpose {
+                purpose: purpose.name(),
+            };
+            let gauge = self.memory.get_or_create(&label);
+            gauge.set(as_gauge(memory.used_for(purpose)));
+        }
+    }
+
     /// Counts a request that may have run and got no complete response.
     pub fn record_failure(&self, code: Code) {
         let label = ByCode {
@@ -129,6 +175,27 @@
             "Calls to the object store",
             self.store_calls.total.clone(),
         );
+        registry.register(
+            "caller_connections",
+            "Open connections of callers",
+            self.connections.clone(),
+        );
+        registry.register(
+            "refused_connections",
+            "Connections of callers that were not accepted",
+            self.refused_connections.clone(),
+        );
+        registry.register(
+            "closed_connections",
+            "Connections of callers that were closed to keep the limits",
+            self.closed_connections.clone(),
+        );
+        registry.register_with_unit(
+            "reserved_memory",
+            "Memory reserved for bodies and connections",
+            Unit::Bytes,
+            self.memory.clone(),
+        );
         registry.register("refused", "Requests that did not run", self.refused.clone());
         registry.register(
             "failed",
@@ -162,6 +229,11 @@
     }
 }
 
+/// Raises a counter to a total that is counted elsewhere.
+fn raise_to(counter: &Counter, total: u64) {
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
+
 fn observe(histograms: &HistogramByUrgency, urgency: u8, elapsed_ms: u64) {
     let label = ByUrgency { urgency };
     let seconds = elapsed_ms as f64 / 1_000.0;
--- a/crates/yucca-serve/src/plain.rs
+++ b/crates/yucca-serve/src/plain.rs
@@ -1,14 +1,15 @@
 //! Requests to plain services: a short response is read completely before it is forwarded.
 
-use bytes::BytesMut;
 use http::response::Parts;
 use tokio::sync::mpsc;
-use tokio::time::{Duration, Instant, sleep, timeout_at};
+use tokio::time::{Duration, sleep, timeout_at};
 use yucca_io::log;
 use yuccacove::code::Code;
+use yuccacove::connection_budget::Shortage;
 use yuccacove::event::Event;
 use yuccacove::memory_budget::Purpose;
 
+use crate::body_buffer::BodyBuffer;
 use crate::choose;
 use crate::crashes::{self, Permission, TRIAL_POLL_MS};
 use crate::host::InFlight;
@@ -109,7 +110,8 @@
             }
             Ok(Outcome::Unbuffered(head, start, body)) => {
                 record_health(context, key, true);
-                return stream_rest(head, start, body, in_flight, context.deadline);
+                host.connections.relieve(Shortage::BodyMemory);
+                return stream_rest(context, head, start, body, in_flight);
             }
             Err(fault) => {
                 if matches!(fault, CallFault::NotSent(_)) {
@@ -136,14 +138,14 @@
         body: ReplyData,
         is_framed: bool,
     },
-    /// The response is too long, or the host's memory is in use. Head, the bytes read so far, and the
-    /// remaining body.
-    Unbuffered(Parts, ReplyData, B),
+    /// The response is too long, or the host's memory is in use. Head, the bytes read so far in one or
+    /// two pieces, and the remaining body.
+    Unbuffered(Parts, Vec<ReplyData>, B),
 }
 
 async fn read_response<B: ResponseBody>(
     response: BackendResponse<B>,
-    mut memory: MemoryGuard,
+    memory: MemoryGuard,
 ) -> Result<Outcome<B>, CallFault> {
     let BackendResponse {
         head,
@@ -151,53 +153,59 @@
         mut body,
         ..
     } = response;
-    let mut bytes = BytesMut::new();
+    let mut buffer = BodyBuffer::new(memory, None, MAX_BUFFERED_BYTES);
     while let Some(chunk) = body.chunk().await {
         let chunk = chunk.map_err(CallFault::Broken)?;
-        let has_memory = memory.grow(chunk.len());
-        bytes.extend_from_slice(&chunk);
-        if !has_memory || bytes.len() > MAX_BUFFERED_BYTES {
-            let start = ReplyData::reserved(bytes.freeze(), memory);
+        let is_too_long = buffer.len() + chunk.len() > MAX_BUFFERED_BYTES;
+        if is_too_long || !buffer.try_push(&chunk) {
+            let (segments, memory) = buffer.finish();
+            let start = vec![
+                ReplyData::reserved(segments, memory),
+                ReplyData::from(chunk),
+            ];
             return Ok(Outcome::Unbuffered(head, start, body));
         }
     }
-    if !is_framed && bytes.is_empty() {
+    if !is_framed && buffer.is_empty() {
         let cause = "connection ended before the body";
         return Err(CallFault::Broken(cause.to_owned()));
     }
+    let (segments, memory) = buffer.finish();
     Ok(Outcome::Complete {
         head,
-        body: ReplyData::reserved(bytes.freeze(), memory),
+        body: ReplyData::reserved(segments, memory),
         is_framed,
     })
 }
 
 fn stream_rest<B: Backends>(
+    context: &RequestContext<B>,
     head: Parts,
-    start: ReplyData,
+    start: Vec<ReplyData>,
     mut body: B::Body,
     in_flight: InFlight<B>,
-    deadline: Instant,
 ) -> Reply {
-    let (sender, chunks) = mpsc::channel(4);
+    let (sender, chunks) = mpsc::channel(1);
+    let memory = context.host.memory.clone();
+    let deadline = context.deadline;
     tokio::task::spawn_local(async move {
         let _in_flight = in_flight;
-        let mut next = Some(Ok(start));
-        while let Some(chunk) = next {
-            let is_broken = chunk.is_err();
-            if sender
-                .send(chunk.map_err(|_: String| Interrupted))
-                .await
-                .is_err()
-                || is_broken
-            {
+        for data in start {
+            if sender.send(Ok(data)).await.is_err() {
                 return;
             }
+        }
+        // A chunk is read only when there is a place for it, so that few wait for a slow caller.
+        while let Ok(place) = sender.reserve().await {
             // A body without end must not be forwarded beyond the deadline.
             let chunk = timeout_at(deadline, body.chunk())
                 .await
                 .unwrap_or_else(|_| Some(Err("deadline passed within the body".to_owned())));
-            next = chunk.map(|chunk| chunk.map(ReplyData::from));
+            match chunk {
+                Some(Ok(bytes)) => place.send(Ok(ReplyData::counted(bytes, &memory))),
+                Some(Err(_)) => return place.send(Err(Interrupted)),
+                None => return,
+            }
         }
     });
     Reply::streamed(head, chunks)
--- a/crates/yucca-serve/src/reply.rs
+++ b/crates/yucca-serve/src/reply.rs
@@ -1,16 +1,19 @@
 //! The reply to a caller.
 
+use std::collections::VecDeque;
+use std::io::IoSlice;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
-use bytes::{Buf, Bytes};
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use http::response::Parts;
 use http::{Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 use yuccacove::code::Code;
+use yuccacove::memory_budget::Purpose;
 
-use crate::memory::MemoryGuard;
+use crate::memory::{Memory, MemoryGuard};
 
 /// A reply with its head and a body that may still be arriving.
 #[derive(Debug)]
@@ -59,56 +62,103 @@
 /// Bytes of a body, with the memory that is reserved for them until they are sent.
 #[derive(Debug)]
 pub struct ReplyData {
-    bytes: Bytes,
+    first: Bytes,
+    /// The segments after the first one; none is empty.
+    rest: VecDeque<Bytes>,
     _memory: Option<MemoryGuard>,
 }
 
 impl ReplyData {
     /// Creates the bytes of a body for which memory is reserved.
-    pub fn reserved(bytes: Bytes, memory: MemoryGuard) -> Self {
+    pub fn reserved(segments: impl IntoIterator<Item = Bytes>, memory: MemoryGuard) -> Self {
+        let mut segments = segments.into_iter().filter(|segment| !segment.is_empty());
         Self {
-            bytes,
+            first: segments.next().unwrap_or_default(),
+            rest: segments.collect(),
             _memory: Some(memory),
         }
     }
 
+    /// Creates bytes that can't wait for memory; it is reserved for them if there is enough.
+    pub fn counted(bytes: Bytes, memory: &Memory) -> Self {
+        let mut guard = memory.guard(Purpose::Response);
+        let is_reserved = guard.grow(bytes.len());
+        Self {
+            _memory: is_reserved.then_some(guard),
+            ..Self::from(bytes)
+        }
+    }
+
     /// Returns the number of bytes.
     pub fn len(&self) -> usize {
-        self.bytes.len()
+        self.first.len() + self.rest.iter().map(Bytes::len).sum::<usize>()
     }
 
     /// Whether there are no bytes.
     pub fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
+        self.first.is_empty()
     }
 }
 
 impl From<Bytes> for ReplyData {
     fn from(bytes: Bytes) -> Self {
         Self {
-            bytes,
+            first: bytes,
+            rest: VecDeque::new(),
             _memory: None,
         }
     }
 }
 
 impl From<ReplyData> for Bytes {
-    fn from(data: ReplyData) -> Self {
-        data.bytes
+    fn from(mut data: ReplyData) -> Self {
+        data.copy_to_bytes(data.len())
     }
 }
 
 impl Buf for ReplyData {
     fn remaining(&self) -> usize {
-        self.bytes.remaining()
+        self.len()
     }
 
     fn chunk(&self) -> &[u8] {
-        self.bytes.chunk()
+        &self.first
+    }
+
+    fn chunks_vectored<'a>(&'a self, slices: &mut [IoSlice<'a>]) -> usize {
+        let segments = std::iter::once(&self.first).chain(&self.rest);
+        let segments = segments.filter(|segment| !segment.is_empty());
+        let mut count = 0;
+        for (slice, segment) in slices.iter_mut().zip(segments) {
+            *slice = IoSlice::new(segment);
+            count += 1;
+        }
+        count
+    }
+
+    fn advance(&mut self, mut count: usize) {
+        while count > 0 && count >= self.first.len() {
+            count -= self.first.len();
+            self.first = self.rest.pop_front().unwrap_or_default();
+            assert!(
+                count == 0 || !self.first.is_empty(),
+                "advanced past the end"
+            );
+        }
+        self.first.advance(count);
     }
 
-    fn advance(&mut self, count: usize) {
-        self.bytes.advance(count);
+    fn copy_to_bytes(&mut self, count: usize) -> Bytes {
+        if count <= self.first.len() {
+            let bytes = self.first.split_to(count);
+            if self.first.is_empty() {
+                self.first = self.rest.pop_front().unwrap_or_default();
+            }
+            return bytes;
+        }
+        let mut bytes = BytesMut::with_capacity(count);
+        bytes.put(self.take(count));
+        bytes.freeze()
     }
 }
 
--- a/crates/yucca-serve/src/request.rs
+++ b/crates/yucca-serve/src/request.rs
@@ -49,7 +49,7 @@
     pub fn size_kb(&self) -> f64 {
         /// Approximate size of the request line and the headers.
         const HEAD_KB: f64 = 0.4;
-        HEAD_KB + self.body.bytes().len() as f64 / 1_024.0
+        HEAD_KB + self.body.len() as f64 / 1_024.0
     }
 }
 
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -9,10 +9,12 @@
 use tokio::time::{Duration, sleep, sleep_until};
 use yucca_io::log;
 use yuccacove::code::Code;
+use yuccacove::connection_budget::Shortage;
 use yuccacove::event::Event;
 use yuccacove::forecast::{Decision, Forecast};
 use yuccacove::memory_budget::Purpose;
 
+use crate::body_buffer::BodyBuffer;
 use crate::choose::{self, EngineChoice, PlacementInput};
 use crate::crashes::{self, Permission, TRIAL_POLL_MS};
 use crate::directory::{BackendKey, Directory};
@@ -28,8 +30,8 @@
 
 /// Capacity of the channel that carries the chunks of a response to the caller.
 const CHANNEL_CHUNKS: usize = 16;
-/// Size of events for which no memory is reserved. It is above that of ordinary ones, so that streams
-/// go on while the memory for bodies is in use.
+/// Size of events that are sent without memory, one at a time. It is above that of ordinary ones, so that
+/// streams go on while the memory for bodies is in use.
 const UNCOUNTED_BYTES: usize = 4 * 1_024;
 /// Interval at which a held request is considered for admission again.
 const HOLD_INTERVAL: Duration = Duration::from_millis(25);
@@ -341,16 +343,16 @@
         .get_mut(key)
         .health
         .record_response(false);
-    let mut bytes = Vec::new();
-    let mut memory = context.host.memory.guard(Purpose::Response);
+    let memory = context.host.memory.guard(Purpose::Response);
+    let mut buffer = BodyBuffer::new(memory, None, MAX_BUFFERED_BYTES);
     while let Some(chunk) = opened.response.body.chunk().await {
         let Ok(chunk) = chunk else {
             return context.refuse(Code::BackendFailed);
         };
-        if !memory.grow(chunk.len()) || bytes.len() + chunk.len() > MAX_BUFFERED_BYTES {
+        let is_too_long = buffer.len() + chunk.len() > MAX_BUFFERED_BYTES;
+        if is_too_long || !buffer.try_push(&chunk) {
             return context.refuse(Code::BackendFailed);
         }
-        bytes.extend_from_slice(&chunk);
     }
     let head = opened.response.head;
     log::write(
@@ -362,7 +364,8 @@
             context.elapsed_ms()
         ),
     );
-    Reply::complete(head, ReplyData::reserved(Bytes::from(bytes), memory))
+    let (segments, memory) = buffer.finish();
+    Reply::complete(head, ReplyData::reserved(segments, memory))
 }
 
 /// Times of a stream's events, in milliseconds since the request was received.
@@ -527,19 +530,25 @@
     events: Bytes,
     caller: &mpsc::Sender<Result<ReplyData, Interrupted>>,
 ) -> Result<(), StreamEnd> {
-    if events.len() <= UNCOUNTED_BYTES {
-        let sent = caller.send(Ok(events.into())).await;
+    let mut memory = context.host.memory.guard(Purpose::Response);
+    let has_memory = memory.grow(events.len());
+    let is_small = events.len() <= UNCOUNTED_BYTES;
+    if is_small && has_memory {
+        let sent = caller.send(Ok(ReplyData::reserved([events], memory))).await;
         return sent.map_err(|_| StreamEnd::CallerLeft);
     }
-    // Large ones wait until the caller has taken all before them, so that few of them are held.
-    let mut memory = context.host.memory.guard(Purpose::Response);
-    if !memory.grow(events.len()) {
+    if !has_memory {
+        context.host.connections.relieve(Shortage::BodyMemory);
+    }
+    if !is_small && !has_memory {
         return Err(StreamEnd::Broken("memory for bodies is in use".to_owned()));
     }
+    // Large ones, and those without memory, wait until the caller has taken all before them, so that few
+    // of them are held.
     let permits = caller.reserve_many(CHANNEL_CHUNKS).await;
     let mut permits = permits.map_err(|_| StreamEnd::CallerLeft)?;
     if let Some(permit) = permits.next() {
-        permit.send(Ok(ReplyData::reserved(events, memory)));
+        permit.send(Ok(ReplyData::reserved([events], memory)));
     }
     Ok(())
 }
--- a/crates/yucca-serve/tests/caller_body.rs
+++ b/crates/yucca-serve/tests/caller_body.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use yucca_serve::caller_body::{CallerBody, read};
+use yucca_serve::connections::{CallerConnection, Connections};
 use yucca_serve::memory::Memory;
 use yuccacove::code::Code;
 
@@ -47,7 +48,14 @@
     chunks: &[usize],
     declared: Option<usize>,
 ) -> Result<CallerBody, Code> {
-    read(body(chunks), declared, MAX_BODY_BYTES, memory).await
+    let caller = caller().await;
+    read(body(chunks), declared, MAX_BODY_BYTES, memory, &caller).await
+}
+
+/// Returns a connection with memory of its own.
+async fn caller() -> CallerConnection {
+    let connections = Connections::new(10, Memory::new(1_000_000));
+    connections.open().await.expect("a connection")
 }
 
 /// Guards against bodies that exceed the memory of a host together, although each of them is within its
@@ -61,7 +69,7 @@
             let body = read_whole(&memory, &[1_000, 1_000], declared)
                 .await
                 .expect("a body");
-            assert_eq!(body.bytes().len(), 2_000);
+            assert_eq!(body.len(), 2_000);
             kept.push(body);
         }
         assert_eq!(memory.used_bytes(), 6_000);
@@ -105,10 +113,17 @@
         ];
         let (sender, receiver) = mpsc::unbounded_channel();
         sender.send(100).expect("an open channel");
-        let stalled =
-            spawn_local(
-                async move { read(Chunks(receiver), Some(200), MAX_BODY_BYTES, &memory).await },
-            );
+        let caller = caller().await;
+        let stalled = spawn_local(async move {
+            read(
+                Chunks(receiver),
+                Some(200),
+                MAX_BODY_BYTES,
+                &memory,
+                &caller,
+            )
+            .await
+        });
         wait_ms(2_000).await;
         assert!(stalled.is_finished());
         let refused = stalled.await.expect("a result");
--- a/crates/yucca-serve/tests/common/mod.rs
+++ b/crates/yucca-serve/tests/common/mod.rs
@@ -159,7 +159,8 @@
     /// Runs a request on a plain server, which responds only when its work is done.
     async fn run_plain(&self, id: &str, request: &Request) -> Result<(), CallFault> {
         let before = self.last_crash(id);
-        let is_deadly = self.deadly_body.borrow().as_ref() == Some(request.body.bytes());
+        let is_deadly =
+            self.deadly_body.borrow().as_ref() == Some(&request.body.segments().concat().into());
         if is_deadly {
             self.deadly_calls.borrow_mut().push(Instant::now());
         }
@@ -232,7 +233,8 @@
         let has_deadly_part = shared
             .iter()
             .any(|part| Some(part.id) == self.deadly_part.get());
-        has_deadly_part || self.deadly_body.borrow().as_ref() == Some(request.body.bytes())
+        has_deadly_part
+            || self.deadly_body.borrow().as_ref() == Some(&request.body.segments().concat().into())
     }
 }
 
@@ -507,6 +509,8 @@
         lease_ms: 3_000,
         heartbeat_ms: 1_200,
         memory_bytes: 260_000_000,
+        caller_descriptors: 4_096,
+        progress_timeout_ms: 15_000,
         revoke_ms: None,
         usage: None,
         duty_per_s: 50.0,
--- a/src/event.rs
+++ b/src/event.rs
@@ -47,6 +47,7 @@
     Cancelled = 206, "cancelled", "The caller disconnected and the work was cancelled.";
     Resumed = 207, "resumed", "A stream continues on another connection or engine.";
     Held = 208, "held", "A request waits in the host until engines have free capacity or a shorter queue.";
+    ConnectionsClosed = 209, "connections_closed", "Connections of callers were closed or refused to keep the limits; lists the numbers since the start by reason.";
     BackendFailed = 301, "backend_failed", "A backend failed a request.";
     BackendEjected = 302, "backend_ejected", "A backend receives no work after repeated failures.";
     BackendReturned = 303, "backend_returned", "An ejected backend receives work again.";
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod catalogue;
 pub mod claim;
 pub mod code;
+pub mod connection_budget;
 pub mod cost;
 pub mod crash_cause;
 pub mod error;
--- a/src/memory_budget.rs
+++ b/src/memory_budget.rs
@@ -1,7 +1,8 @@
-//! Limits the memory that a host uses for bodies of requests and responses.
+//! Limits the memory that a host uses for bodies of requests and responses, and for connections.
 //!
 //! A body has a limit of its own, but many callers at once, or a faulty backend that sends bytes
-//! without end on all of its connections, exceed the memory of a host together.
+//! without end on all of its connections, exceed the memory of a host together. What counts is what is
+//! allocated: memory is reserved before, and not as bytes arrive.
 //!
 //! ```
 //! use yuccacove::memory_budget::{MemoryBudget, Purpose};
@@ -15,56 +16,94 @@
 //! assert_eq!(budget.used_bytes(), 1_000);
 //! ```
 
-/// Share of the process's memory, as a divisor, that bodies may use. The rest is for the program, its
-/// state, the buffers of connections, and what the allocator does not return at once.
+/// Share of the process's memory, as a divisor, that bodies may use.
 const BODY_SHARE_DIVISOR: usize = 2;
 /// Share of the bodies' memory, as a divisor, that requests leave to responses.
 const RESPONSE_SHARE_DIVISOR: usize = 8;
+/// Share of the process's memory, in eighths, that connections may use.
+const CONNECTION_SHARE_EIGHTHS: usize = 3;
+/// Share of the process's memory, in eighths, that bodies and connections may use together. The rest is
+/// for the program, its state, and what the allocator does not return at once.
+const TOTAL_SHARE_EIGHTHS: usize = 5;
 
 /// What memory is used for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Purpose {
     /// The body of a caller's request.
     Request,
     /// The body of a backend's response.
     Response,
+    /// Buffers and state of a caller's connection, and of the request that it carries.
+    Connection,
 }
 
-/// Memory of a host for bodies, in bytes.
+impl Purpose {
+    /// All purposes.
+    pub const ALL: [Self; 3] = [Self::Request, Self::Response, Self::Connection];
+
+    /// The name in snake case, for metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Request => "request",
+            Self::Response => "response",
+            Self::Connection => "connection",
+        }
+    }
+}
+
+/// Memory of a host for bodies and connections, in bytes.
 #[derive(Debug)]
 pub struct MemoryBudget {
-    capacity_bytes: usize,
+    body_capacity_bytes: usize,
+    connection_capacity_bytes: usize,
+    total_capacity_bytes: usize,
     request_bytes: usize,
     response_bytes: usize,
+    connection_bytes: usize,
 }
 
 impl MemoryBudget {
     /// Creates the budget of a process that may use `process_bytes` in all.
     pub fn new(process_bytes: usize) -> Self {
+        let eighth_bytes = process_bytes / 8;
         Self {
-            capacity_bytes: process_bytes / BODY_SHARE_DIVISOR,
+            body_capacity_bytes: process_bytes / BODY_SHARE_DIVISOR,
+            connection_capacity_bytes: eighth_bytes * CONNECTION_SHARE_EIGHTHS,
+            total_capacity_bytes: eighth_bytes * TOTAL_SHARE_EIGHTHS,
             request_bytes: 0,
             response_bytes: 0,
+            connection_bytes: 0,
         }
     }
 
     /// Returns how much memory is in use.
     pub fn used_bytes(&self) -> usize {
-        self.request_bytes + self.response_bytes
+        self.request_bytes + self.response_bytes + self.connection_bytes
+    }
+
+    /// Returns how much memory is in use for a purpose.
+    pub fn used_for(&self, purpose: Purpose) -> usize {
+        match purpose {
+            Purpose::Request => self.request_bytes,
+            Purpose::Response => self.response_bytes,
+            Purpose::Connection => self.connection_bytes,
+        }
     }
 
     /// Whether `bytes` more could be reserved now.
     pub fn has_room(&self, purpose: Purpose, bytes: usize) -> bool {
-        let used_bytes = self.used_bytes().saturating_add(bytes);
-        let fits_requests = match purpose {
+        let fits = |used_bytes: usize, limit_bytes| used_bytes.saturating_add(bytes) <= limit_bytes;
+        let body_bytes = self.request_bytes + self.response_bytes;
+        let fits_purpose = match purpose {
             Purpose::Request => {
-                let left_to_responses = self.capacity_bytes / RESPONSE_SHARE_DIVISOR;
-                let limit_bytes = self.capacity_bytes - left_to_responses;
-                self.request_bytes.saturating_add(bytes) <= limit_bytes
+                let left_to_responses = self.body_capacity_bytes / RESPONSE_SHARE_DIVISOR;
+                let limit_bytes = self.body_capacity_bytes - left_to_responses;
+                fits(self.request_bytes, limit_bytes) && fits(body_bytes, self.body_capacity_bytes)
             }
-            Purpose::Response => true,
+            Purpose::Response => fits(body_bytes, self.body_capacity_bytes),
+            Purpose::Connection => fits(self.connection_bytes, self.connection_capacity_bytes),
         };
-        fits_requests && used_bytes <= self.capacity_bytes
+        fits_purpose && fits(self.used_bytes(), self.total_capacity_bytes)
     }
 
     /// Reserves memory. Returns `false`, and reserves none, if there is not enough.
@@ -86,6 +125,7 @@
         match purpose {
             Purpose::Request => &mut self.request_bytes,
             Purpose::Response => &mut self.response_bytes,
+            Purpose::Connection => &mut self.connection_bytes,
         }
     }
 }
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -1,8 +1,8 @@
-//! Tests of the memory for bodies.
+//! Tests of the memory for bodies and connections.
 
 use yuccacove::memory_budget::{
     MemoryBudget,
-    Purpose::{Request, Response},
+    Purpose::{Connection, Request, Response},
 };
 
 /// Guards against bodies that exceed the memory of a host together, and against requests that leave no
@@ -33,3 +33,24 @@
     budget.release(Response, 800);
     assert_eq!(budget.used_bytes(), 0);
 }
+
+/// Guards against connections and bodies that exceed the memory of a host together, and against
+/// connections that leave no room for bodies.
+#[test]
+fn try_reserve_connections() {
+    let mut budget = MemoryBudget::new(1_600);
+    for (purpose, bytes, is_reserved) in [
+        (Connection, 600, true),
+        (Connection, 1, false),
+        (Request, 400, true),
+        (Response, 1, false),
+        (Connection, usize::MAX, false),
+    ] {
+        let reserved = budget.try_reserve(purpose, bytes);
+        assert_eq!(reserved, is_reserved, "{purpose:?} {bytes}");
+    }
+    budget.release(Connection, 300);
+    assert!(budget.try_reserve(Response, 300));
+    assert_eq!(budget.used_for(Connection), 300);
+    assert_eq!(budget.used_bytes(), 1_000);
+}
