Emulate slow engines and a fixed latency of remote prefills

Cause: on two deployments a third of the engines ran at 0.4 of the nominal speed, and remote prefills were answered some 47 ms after they had ended. The emulator had one speed for all engines.

Change: scenarios may name the share and the speed of slow engines, the prefill throughput and the latency.

--- a/crates/yucca-emulator/src/engine.rs
+++ b/crates/yucca-emulator/src/engine.rs
@@ -25,6 +25,9 @@
     pub prefill_tokens_per_ms: f64,
     /// Attention time for a million pairs of tokens, in milliseconds.
     pub attention_ms_per_megapair: f64,
+    /// Time from the end of a remote prefill until its response, in milliseconds. It does not occupy the
+    /// engine.
+    pub prefill_latency_ms: f64,
     /// Maximum prompt tokens that a prefill engine processes in one step.
     pub chunk_tokens: u32,
     /// Duration of a decode step with one request in the batch, in milliseconds.
@@ -50,6 +53,7 @@
             kv_tokens: 480_000,
             prefill_tokens_per_ms: 64.2,
             attention_ms_per_megapair: 0.65,
+            prefill_latency_ms: 0.0,
             chunk_tokens: 2_048,
             step_ms: 4.23,
             step_ms_per_request: 0.001,
@@ -177,6 +181,8 @@
 #[derive(Debug)]
 pub struct Engine {
     capacity: Capacity,
+    /// Factor on the speed of all steps.
+    speed: f64,
     phase: Phase,
     /// Phase change in progress: the new phase, and the time from which it applies. The time is `None`
     /// until the running work has completed.
@@ -197,6 +203,7 @@
     pub fn new(capacity: Capacity, phase: Phase) -> Self {
         Self {
             capacity,
+            speed: 1.0,
             phase,
             change: None,
             waiting: Vec::new(),
@@ -208,6 +215,11 @@
         }
     }
 
+    /// Sets the factor on the speed of all steps that begin from now on.
+    pub fn set_speed(&mut self, speed: f64) {
+        self.speed = speed;
+    }
+
     /// Returns the current phase.
     pub fn phase(&self) -> Phase {
         self.phase
@@ -308,7 +320,7 @@
             .map(|w| w.id)
             .collect();
         Some(Step {
-            duration_ms: prefill_ms + self.decode_ms(decodes.len()),
+            duration_ms: (prefill_ms + self.decode_ms(decodes.len())) / self.speed,
             prefill,
             decodes,
         })
--- a/crates/yucca-emulator/src/pool.rs
+++ b/crates/yucca-emulator/src/pool.rs
@@ -96,6 +96,10 @@
 pub struct FleetSize {
     /// Number of engines.
     pub engines: usize,
+    /// Share of the engines that are slow.
+    pub slow_share: f64,
+    /// Factor on the speed of the slow engines.
+    pub slow_speed: f64,
     /// Number of availability zones, over which backends and hosts are distributed.
     pub zones: usize,
     /// Number of servers of the plain service.
@@ -108,6 +112,16 @@
     pub tokens_per_event: u32,
 }
 
+impl FleetSize {
+    /// Returns the factor on the speed of an engine. Multiples of the golden ratio spread the slow
+    /// engines evenly over the numbers, and so over the availability zones.
+    fn engine_speed(&self, number: usize) -> f64 {
+        const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
+        let is_slow = (number as f64 * GOLDEN_RATIO).fract() < self.slow_share;
+        if is_slow { self.slow_speed } else { 1.0 }
+    }
+}
+
 impl Pool {
     /// Starts the backends and writes their entries to `store`.
     pub fn spawn(size: &FleetSize, capacity: Capacity, store: &Rc<MemoryStore>) -> Self {
@@ -119,11 +133,13 @@
             let entry = json!({
                 "service": "model", "address": address.to_string(), "zone": zone, "started": 1,
             });
+            let mut engine = Engine::new(capacity, Phase::Decode);
+            engine.set_speed(size.engine_speed(number));
             let node = EngineNode {
                 address,
                 entry: RefCell::new(entry),
                 state: RefCell::new(EngineState {
-                    engine: Engine::new(capacity, Phase::Decode),
+                    engine,
                     waiters: HashMap::new(),
                 }),
                 wake: Notify::new(),
@@ -499,7 +515,9 @@
         let mut work = Work::prefill(id, &parts);
         work.set_fetched(fetched);
         node.submit(work, id, Waiter::Prefill(sender));
-        match receiver.await {
+        let outcome = receiver.await;
+        sleep(millis(pool.capacity.prefill_latency_ms)).await;
+        match outcome {
             Ok(true) => Ok(Prefilled {
                 kv_cache: KvCacheHandle {
                     holder: to.clone(),
--- a/crates/yucca-emulator/src/scenario.rs
+++ b/crates/yucca-emulator/src/scenario.rs
@@ -151,6 +151,10 @@
     section.expect_keys(&[
         "engines",
         "hosts",
+        "slow_share",
+        "slow_speed",
+        "prefill_tokens_per_ms",
+        "prefill_latency_ms",
         "zones",
         "seconds",
         "slots",
@@ -166,6 +170,8 @@
         hosts: section.required("hosts", "a number")?,
         size: FleetSize {
             engines: section.required("engines", "a number")?,
+            slow_share: optional_or(section, "slow_share", 0.0)?,
+            slow_speed: optional_or(section, "slow_speed", 1.0)?,
             zones: optional_or(section, "zones", 1)?,
             servers: optional_or(section, "servers", 0)?,
             server_slots: optional_or(section, "server_slots", 6)?,
@@ -176,6 +182,16 @@
             slots: optional_or(section, "slots", default.slots)?,
             kv_tokens: optional_or(section, "kv_tokens", default.kv_tokens)?,
             link_gbit_per_s: optional_or(section, "link_gbit_per_s", default.link_gbit_per_s)?,
+            prefill_tokens_per_ms: optional_or(
+                section,
+                "prefill_tokens_per_ms",
+                default.prefill_tokens_per_ms,
+            )?,
+            prefill_latency_ms: optional_or(
+                section,
+                "prefill_latency_ms",
+                default.prefill_latency_ms,
+            )?,
             ..default
         },
         seconds: optional_or(section, "seconds", 30.0)?,
