Add learned speeds of engines

Cause: hosts assume the published speed of all engines. On one deployment a third of the engines prefill at 0.4 of it; on another all do at 1.75 times, with a fixed latency of 47 ms.

Change: src/engine_speed.rs learns the latency and the usual speed of a service, and the prefill and decode speed of each engine, from completed work. Nothing uses it yet.

Evidence: tests/engine_speed.rs, with tables of both deployments, an engine that is slow for 5 s, outliers, unknown queues, bounds and restarts.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod code;
 pub mod cost;
 pub mod crash_cause;
+pub mod engine_speed;
 pub mod error;
 pub mod event;
 pub mod fleet_rate;
