--- a/crates/yucca-emulator/tests/pool.rs
+++ b/crates/yucca-emulator/tests/pool.rs
@@ -38,6 +38,8 @@
         .expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
         let size = FleetSize {
+            slow_share: 0.0,
+            slow_speed: 1.0,
             engines: 1,
             zones: 1,
             servers: 0,
--- a/crates/yucca-emulator/tests/simulation.rs
+++ b/crates/yucca-emulator/tests/simulation.rs
@@ -45,6 +45,28 @@
     assert!(urgent_refused <= less_urgent_deferred, "{summaries:?}");
 }
 
+/// Urgent requests must meet their target although a third of the engines run at 0.4 of the nominal
+/// speed, and although remote prefills have a latency and are faster than nominal. Guards against
+/// forecasts at the nominal speed, with which many urgent requests waited behind the queues of slow
+/// engines that seemed empty.
+#[test]
+fn hosts_learn_engine_speeds() {
+    const MIN_IN_TARGET: f64 = 0.95;
+    let cases = [
+        include_str!("../scenarios/slow-engines.ini"),
+        include_str!("../scenarios/prefill-latency.ini"),
+    ];
+    for text in cases {
+        let scenario = Scenario::parse("s.ini", text).expect("a scenario");
+        let result = simulate(&scenario, 1, Policy::Hosts).expect("a result");
+        let summaries = summarize(&scenario, &result);
+        for summary in &summaries {
+            let share = summary.in_target as f64 / summary.requests as f64;
+            assert!(share > MIN_IN_TARGET, "{share} {summaries:?}");
+        }
+    }
+}
+
 /// Each request must have exactly one outcome at any load, and an overloaded fleet must refuse
 /// requests rather than let them exceed their deadlines.
 #[test]
--- a/crates/yucca-serve/src/choose.rs
+++ b/crates/yucca-serve/src/choose.rs
@@ -3,9 +3,10 @@
 //! For generations this module collects what is known of the engines and passes it to
 //! [`yuccacove::prompt_placement`], which makes the choice.
 
-use yuccacove::prompt_placement::{self, Choice, EngineView, Phase, Placement};
+use yuccacove::engine_speed::ServiceSpeed;
+use yuccacove::prompt_placement::{self, Choice, Delays, EngineView, Phase, Placement};
 
-use crate::directory::{BackendKey, Directory};
+use crate::directory::{Backend, BackendKey, Directory};
 use crate::hash::hash_of;
 use crate::request::{Prompt, Request};
 
@@ -19,10 +20,13 @@
 /// Failure rate up to which an engine counts as healthy.
 const TOLERATED_FAILURE_RATE: f64 = 0.05;
 /// Time to decode one token. The decode time of an event is subtracted from the allowed gap.
-const TOKEN_MS: f64 = 4.5;
+pub const TOKEN_MS: f64 = 4.5;
 /// Pending work that is assumed for an engine of another availability zone when load is announced
 /// within zones only.
 const UNKNOWN_PENDING_MS: f64 = 120.0;
+/// Largest random addition to the cost of a prefill engine. Hosts that choose at the same time do not
+/// know of each other's choice for about this time, and would all choose the same engine.
+const SPREAD_MS: f64 = 10.0;
 /// Average size of a stream event in kilobytes.
 const EVENT_KB: f64 = 0.1;
 
@@ -37,6 +41,12 @@
     pub first_token_ms: f64,
     /// Forecast prefill time in milliseconds.
     pub prefill_ms: f64,
+    /// Work of the prefill in nominal milliseconds.
+    pub prefill_work_ms: f64,
+    /// Learned prefill speed of the engine that runs the prefill, relative to the published one.
+    pub prefill_speed: f64,
+    /// Fixed latency of the prefill, in milliseconds.
+    pub prefill_latency_ms: f64,
     /// Forecast time of the prefills that are ahead of this one on its engine, in milliseconds.
     pub pending_ms: f64,
     /// Utilisation of the decode engine's slots or KV cache, whichever is higher; 1 is full.
@@ -105,6 +115,8 @@
     pub slots: u32,
     /// Capacity of an engine's KV cache in tokens.
     pub kv_tokens: u64,
+    /// Random number that spreads the choices of the hosts.
+    pub draw: u64,
 }
 
 /// Returns the engines for a generation, except those in `excluded`; `None` if no decode engine is
@@ -120,7 +132,11 @@
     let mut chosen = with_keys(&choice, &candidates.keys);
     chosen.decode_utilisation = candidates.utilisation(chosen.decode);
     let prefill_engine = chosen.prefill.unwrap_or(chosen.decode);
-    chosen.pending_ms = directory.get(prefill_engine).load.pending_ms(now_ms);
+    let load = &directory.get(prefill_engine).load;
+    chosen.pending_ms = load.pending_ms(now_ms);
+    chosen.prefill_speed = load.prefill_speed;
+    chosen.prefill_work_ms = chosen.prefill_ms * load.prefill_speed;
+    chosen.prefill_latency_ms = load.latency_ms;
     let cached = |key: BackendKey| {
         let load = &directory.get(key).load;
         load.cached_tokens(&candidates.prefixes, now_ms)
@@ -202,8 +218,9 @@
                 cached_tokens: cached_on(*key),
                 reachable_tokens,
                 is_remote,
-                speed: 1.0,
-                failure_cost_ms: excess_rate * FAILURE_COST_MS,
+                speed: backend.load.prefill_speed,
+                decode_speed: backend.load.decode_speed,
+                failure_cost_ms: excess_rate * FAILURE_COST_MS + spread_ms(backend, input.draw),
             }
         };
         let views = keys.iter().map(view).collect();
@@ -213,6 +230,10 @@
             request_kb: input.request.size_kb(),
             response_kb: f64::from(prompt.max_output_tokens) * EVENT_KB,
             max_gap_ms: (input.gap_ms as f64 - decode_ms).max(0.0),
+            event_ms: decode_ms,
+            delays: directory
+                .service_speed(input.service)
+                .map_or(Delays::default(), delays),
         };
         Self {
             keys,
@@ -224,8 +245,23 @@
     }
 }
 
-/// Converts a choice of engines by index into one by key. The caller sets `pending_ms`,
-/// `decode_utilisation` and `prefix_source`.
+fn spread_ms(backend: &Backend, draw: u64) -> f64 {
+    match backend.entry.phase {
+        Phase::Prefill => SPREAD_MS * ((backend.id_hash() ^ draw) % 1_000) as f64 / 1_000.0,
+        // The costs of decode engines differ by less than that.
+        Phase::Decode => 0.0,
+    }
+}
+
+fn delays(speed: &ServiceSpeed) -> Delays {
+    Delays {
+        prefill_ms: speed.latency_ms(),
+        decode_ms: speed.decode_delay.value_ms(),
+        one_stage_ms: speed.one_stage_delay.value_ms(),
+    }
+}
+
+/// Converts a choice of engines by index into one by key. The caller sets the other fields.
 fn with_keys(choice: &Choice, keys: &[BackendKey]) -> EngineChoice {
     let (prefill, decode) = match choice.placement {
         Placement::TwoStage { prefill, decode } => (Some(keys[prefill]), keys[decode]),
@@ -236,6 +272,9 @@
         decode,
         first_token_ms: choice.first_token_ms,
         prefill_ms: choice.prefill_ms,
+        prefill_work_ms: 0.0,
+        prefill_speed: 1.0,
+        prefill_latency_ms: 0.0,
         pending_ms: 0.0,
         decode_utilisation: 0.0,
         prefix_source: None,
--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 
 use indexmap::IndexMap;
+use yuccacove::engine_speed::{PrefillSample, ServiceSpeed};
 use yuccacove::passive_health::PassiveHealth;
 use yuccacove::prompt_placement::Phase;
 
@@ -138,6 +139,17 @@
         is_new
     }
 
+    fn update_speeds(&mut self, service: &ServiceSpeed, now_ms: u64) {
+        let load = &mut self.load;
+        load.prefill_speed = service.prefill_speed(&load.speed, now_ms);
+        load.decode_speed = load.speed.decode_speed(now_ms);
+        // Only remote prefills have the latency.
+        load.latency_ms = match self.entry.phase {
+            Phase::Prefill => service.latency_ms(),
+            Phase::Decode => 0.0,
+        };
+    }
+
     fn is_serving(&self, now_ms: u64) -> bool {
         match self.registration {
             Registration::Serving => true,
@@ -188,6 +200,9 @@
 pub struct Directory {
     backends: Vec<Backend>,
     by_id: IndexMap<String, BackendKey>,
+    by_hash: IndexMap<u64, BackendKey>,
+    /// Learned speeds of the engines of each service.
+    speeds: IndexMap<String, ServiceSpeed>,
     store_unavailable_since_ms: Option<u64>,
     /// Time until which backends stay in use if their entries are missing.
     relist_until_ms: u64,
@@ -235,6 +250,11 @@
         self.backends.iter_mut()
     }
 
+    /// Returns the keys of all backends.
+    pub fn keys(&self) -> impl Iterator<Item = BackendKey> + use<> {
+        (0..self.backends.len()).map(BackendKey)
+    }
+
     /// Returns the key of the backend with an id.
     pub fn find(&self, id: &str) -> Option<BackendKey> {
         self.by_id.get(id).copied()
@@ -242,8 +262,41 @@
 
     /// Returns the key of the backend whose id has the given hash.
     pub fn find_by_hash(&self, hash: u64) -> Option<BackendKey> {
-        let mut keys = self.by_id.values().copied();
-        keys.find(|key| self.get(*key).id_hash == hash)
+        self.by_hash.get(&hash).copied()
+    }
+
+    /// Returns what was learned of the speeds of a service's engines; `None` before the first sample.
+    pub fn service_speed(&self, service: &str) -> Option<&ServiceSpeed> {
+        self.speeds.get(service)
+    }
+
+    /// Applies `record` to what was learned of the service of an engine.
+    pub fn update_service_speed(
+        &mut self,
+        key: BackendKey,
+        record: impl FnOnce(&mut ServiceSpeed),
+    ) {
+        record(service_speed_mut(
+            &mut self.speeds,
+            &self.backends[key.0].entry.service,
+        ));
+    }
+
+    /// Records a remote prefill that an engine has completed.
+    pub fn record_prefill(&mut self, key: BackendKey, sample: &PrefillSample, now_ms: u64) {
+        let backend = &mut self.backends[key.0];
+        let service = service_speed_mut(&mut self.speeds, &backend.entry.service);
+        service.record_prefill(&mut backend.load.speed, sample, now_ms);
+        backend.update_speeds(service, now_ms);
+    }
+
+    /// Updates the speeds that forecasts use, which also change when there are no samples.
+    pub fn update_speeds(&mut self, now_ms: u64) {
+        for backend in &mut self.backends {
+            if let Some(service) = self.speeds.get(&backend.entry.service) {
+                backend.update_speeds(service, now_ms);
+            }
+        }
     }
 
     /// Whether a full listing has been received.
@@ -435,6 +488,17 @@
         let key = BackendKey(self.backends.len());
         self.backends.push(backend);
         self.by_id.insert(id.to_owned(), key);
+        self.by_hash.insert(hash_of(id), key);
         Change::Joined(key)
     }
 }
+
+fn service_speed_mut<'a>(
+    speeds: &'a mut IndexMap<String, ServiceSpeed>,
+    service: &str,
+) -> &'a mut ServiceSpeed {
+    if !speeds.contains_key(service) {
+        speeds.insert(service.to_owned(), ServiceSpeed::default());
+    }
+    &mut speeds[service]
+}
--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -22,7 +22,7 @@
 use crate::loads::Reservation;
 use crate::memory::Memory;
 use crate::metrics::Metrics;
-use crate::peers::{Peers, PrefillAnnouncement};
+use crate::peers::{Peers, PrefillAnnouncement, PrefillEnd};
 use crate::ports::{Backends, NoticeContent, Object, Target};
 use crate::recency::{ConfigId, ConfigRecency};
 use crate::relay::Relay;
@@ -316,6 +316,12 @@
         self.peer_updates.notify_one();
     }
 
+    /// Announces to the hosts that know of a prefill that it has ended.
+    pub fn announce_prefill_end(&self, end: PrefillEnd) {
+        self.peers.announce_prefill_end(end);
+        self.peer_updates.notify_one();
+    }
+
     /// Applies what backends have said of themselves in responses. This works also without the store,
     /// and before each choice of a backend.
     pub fn apply_notices(&self)
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod config_order;
 pub mod crashes;
 pub mod directory;
+mod engine_reports;
 pub mod events;
 pub mod follow;
 pub mod hash;
--- a/crates/yucca-serve/src/metrics.rs
+++ b/crates/yucca-serve/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a host: counters and latency histograms.
 
 use std::rc::Rc;
+use std::sync::atomic::AtomicU64;
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -31,6 +32,48 @@
 
 type HistogramByUrgency = Family<ByUrgency, Histogram, fn() -> Histogram>;
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct BySpeed {
+    phase: &'static str,
+    statistic: &'static str,
+}
+
+/// Learned speeds of the engines, over all of them: a label for each would be too many.
+#[derive(Debug, Default)]
+pub struct EngineSpeeds {
+    speed: Family<BySpeed, Gauge<f64, AtomicU64>>,
+    latency_s: Gauge<f64, AtomicU64>,
+}
+
+impl EngineSpeeds {
+    /// Sets the prefill speeds, relative to the published one, and the latency of remote prefills.
+    pub fn set_prefill(&self, speeds: &mut [f64], latency_ms: f64) {
+        self.set("prefill", speeds);
+        self.latency_s.set(latency_ms / 1_000.0);
+    }
+
+    /// Sets the decode speeds, relative to the published one.
+    pub fn set_decode(&self, speeds: &mut [f64]) {
+        self.set("decode", speeds);
+    }
+
+    fn set(&self, phase: &'static str, speeds: &mut [f64]) {
+        if speeds.is_empty() {
+            return;
+        }
+        speeds.sort_by(f64::total_cmp);
+        let statistics = [
+            ("min", speeds[0]),
+            ("decile", speeds[speeds.len() / 10]),
+            ("median", speeds[speeds.len() / 2]),
+        ];
+        for (statistic, speed) in statistics {
+            let label = BySpeed { phase, statistic };
+            self.speed.get_or_create(&label).set(speed);
+        }
+    }
+}
+
 /// Counters and histograms that are updated for each request.
 #[derive(Debug)]
 pub struct Metrics {
@@ -46,6 +89,8 @@
     pub refused_parts: Gauge,
     /// Calls to the object store.
     pub store_calls: Rc<StoreCalls>,
+    /// Learned speeds of the engines.
+    pub engine_speeds: EngineSpeeds,
     refused: Family<ByCode, Counter>,
     failed: Family<ByCode, Counter>,
     response_s: HistogramByUrgency,
@@ -63,6 +108,7 @@
             invalid_responses: Counter::default(),
             refused_parts: Gauge::default(),
             store_calls: Rc::default(),
+            engine_speeds: EngineSpeeds::default(),
             refused: Family::default(),
             failed: Family::default(),
             response_s: histograms(),
@@ -129,6 +175,17 @@
             "Calls to the object store",
             self.store_calls.total.clone(),
         );
+        registry.register(
+            "engine_speed",
+            "Learned speeds of engines, relative to the published one",
+            self.engine_speeds.speed.clone(),
+        );
+        registry.register_with_unit(
+            "prefill_latency",
+            "Latency of remote prefills that does not depend on their work",
+            Unit::Seconds,
+            self.engine_speeds.latency_s.clone(),
+        );
         registry.register("refused", "Requests that did not run", self.refused.clone());
         registry.register(
             "failed",
--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -2,8 +2,8 @@
 //! generations each host has on an engine.
 //!
 //! A host sees only its own part of an engine's work. It learns the rest from datagrams of the
-//! other hosts within tens of milliseconds. A lost datagram only makes a forecast less accurate, so
-//! load updates are not repeated.
+//! other hosts within tens of milliseconds, also when a prefill has ended. A lost datagram only makes
+//! a forecast less accurate, so load updates are not repeated.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -17,14 +17,17 @@
 use tokio::time::{Duration, Instant, sleep, sleep_until};
 use yucca_io::log;
 use yuccacove::crash_cause::PartReport;
+use yuccacove::engine_speed::PrefillSample;
 use yuccacove::event::Event;
 use yuccacove::fleet_rate::{HostId, LimitReport, Message};
 
 use crate::crashes;
-use crate::directory::BackendKey;
+use crate::directory::{BackendKey, Directory};
+use crate::engine_reports;
 use crate::follow::{Follower, StoreHealth};
 use crate::hash::hash_of;
 use crate::host::Host;
+use crate::loads::PrefillSource;
 use crate::ports::{Kind, Object, ObjectStore, Objects, StoreFault};
 use crate::recency::{Answer, Question};
 use crate::relay::{ChangeRequest, StoreUpdate};
@@ -32,10 +35,15 @@
 /// Interval in which updates are collected before they are sent.
 const SEND_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval at which the numbers of generations are sent when there are no other updates.
-const COUNT_INTERVAL: Duration = Duration::from_millis(100);
+const COUNT_INTERVAL: Duration = Duration::from_millis(COUNT_INTERVAL_MS);
+const COUNT_INTERVAL_MS: u64 = 100;
 /// Maximum number of prefills in one datagram, which keeps it below the smallest common packet
 /// size.
 const MAX_PREFILLS: usize = 40;
+/// Maximum number of ended prefills in one datagram.
+const MAX_PREFILL_ENDS: usize = 40;
+/// Maximum number of decode speeds in one datagram.
+const MAX_DECODE_NEWS: usize = 20;
 /// Maximum size of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 2_048;
 /// Maximum number of hosts to which a load update is sent. In a larger fleet it is sent to a
@@ -69,7 +77,7 @@
 pub struct PrefillAnnouncement {
     /// Hash of the engine's id.
     pub engine: u64,
-    /// Forecast prefill time, in units of 0.1 ms.
+    /// Forecast prefill time at the engine's published speed, in units of 0.1 ms.
     #[serde(rename = "read_tenths_ms")]
     pub prefill_tenths_ms: u32,
     /// Hash of the prompt's shared prefix; 0 if it has none.
@@ -78,6 +86,89 @@
     pub shared_tokens: u32,
 }
 
+impl PrefillAnnouncement {
+    /// Returns the work in nominal milliseconds.
+    pub fn work_ms(&self) -> f64 {
+        from_tenths_ms(self.prefill_tenths_ms)
+    }
+}
+
+/// Announces that a prefill of the sender has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct PrefillEnd {
+    /// Hash of the engine's id.
+    engine: u64,
+    /// Work as it was announced, in units of 0.1 ms.
+    work_tenths_ms: u32,
+    /// Work ahead of it when it was sent, in nominal time, in units of 0.1 ms.
+    ahead_tenths_ms: u32,
+    /// Time that it took in milliseconds; 0 if nothing is to be learned from it.
+    took_ms: u32,
+    /// Whether it ran to its end.
+    is_completed: bool,
+}
+
+impl PrefillEnd {
+    /// Creates the announcement for the engine whose id has the hash `engine`. `took_ms` is the time
+    /// of a completed remote prefill.
+    pub fn new(
+        engine: u64,
+        work_ms: f64,
+        ahead_ms: f64,
+        took_ms: Option<f64>,
+        is_completed: bool,
+    ) -> Self {
+        Self {
+            engine,
+            work_tenths_ms: to_tenths_ms(work_ms),
+            ahead_tenths_ms: to_tenths_ms(ahead_ms),
+            took_ms: took_ms.map_or(0, |took_ms| took_ms.max(1.0) as u32),
+            is_completed,
+        }
+    }
+
+    /// Returns the sample from which the engine's speed is learned.
+    pub fn sample(&self, is_queue_known: bool) -> Option<PrefillSample> {
+        (self.took_ms > 0).then(|| PrefillSample {
+            ahead_ms: from_tenths_ms(self.ahead_tenths_ms),
+            work_ms: from_tenths_ms(self.work_tenths_ms),
+            took_ms: f64::from(self.took_ms),
+            is_queue_known,
+        })
+    }
+}
+
+fn to_tenths_ms(ms: f64) -> u32 {
+    (ms * 10.0).round() as u32
+}
+
+fn from_tenths_ms(tenths_ms: u32) -> f64 {
+    f64::from(tenths_ms) / 10.0
+}
+
+/// Time per nominal time of the sender's streams on an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+struct DecodeSlowness {
+    /// Hash of the engine's id.
+    engine: u64,
+    slowness_percent: u32,
+}
+
+/// Progress of the sender's work. It follows a [`Datagram::Load`] in the same datagram, because hosts
+/// of an earlier version ignore what follows one. Its presence says that the sender tells the
+/// recipients when the prefills that it announces have ended.
+#[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
+struct EngineProgress {
+    ended: Vec<PrefillEnd>,
+    decode: Vec<DecodeSlowness>,
+}
+
+impl EngineProgress {
+    fn is_empty(&self) -> bool {
+        self.ended.is_empty() && self.decode.is_empty()
+    }
+}
+
 /// Generations of the sender on an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 struct StreamCount {
@@ -147,6 +238,13 @@
     /// hosts, so that engines of other availability zones can fetch them.
     shared_prefixes: RefCell<Vec<PrefillAnnouncement>>,
     unavailable: RefCell<Vec<EngineUnavailable>>,
+    ended: RefCell<Vec<PrefillEnd>>,
+    /// Number of this host's prefills so far.
+    prefill_number: Cell<u64>,
+    /// Whether load is exchanged with the hosts of the same availability zone only.
+    is_within_zone: Cell<bool>,
+    /// Time at which the numbers of generations were last sent.
+    counts_ms: Cell<u64>,
     /// Time of the last samples of the blamed parts and of the limits.
     sample_ms: Cell<u64>,
     /// Notified when this host's entry is missing from the store.
@@ -162,6 +260,22 @@
         }
     }
 
+    /// Announces the end of a prefill with the next datagram that has room for it. It is dropped if too
+    /// many wait.
+    pub fn announce_prefill_end(&self, end: PrefillEnd) {
+        let mut ended = self.ended.borrow_mut();
+        if !self.hosts.borrow().is_empty() && ended.len() < 2 * MAX_PREFILL_ENDS {
+            ended.push(end);
+        }
+    }
+
+    /// Returns a number for a prefill that no other prefill of this host has.
+    pub fn next_prefill(&self) -> u64 {
+        let number = self.prefill_number.get();
+        self.prefill_number.set(number + 1);
+        number
+    }
+
     /// Announces to the hosts of all availability zones that an engine now prefills a shared
     /// prefix. Short prefixes are ignored.
     pub fn announce_shared_prefix(&self, announcement: PrefillAnnouncement) {
@@ -176,7 +290,8 @@
     }
 
     fn has_updates(&self) -> bool {
-        !self.prefills.borrow().is_empty() || !self.unavailable.borrow().is_empty()
+        let has_prefills = !self.prefills.borrow().is_empty() || !self.ended.borrow().is_empty();
+        has_prefills || !self.unavailable.borrow().is_empty()
     }
 
     /// Returns the ids of the other hosts.
@@ -250,26 +365,23 @@
     if is_sample_due {
         host.peers.sample_ms.set(host.now_ms());
         crashes::report_identified(host);
+        engine_reports::update(host);
     }
     let crashes = crash_updates(host, is_sample_due);
     let rates = rate_updates(host, is_sample_due);
     let recency = recency_messages(host);
     let all = other_zones
         .into_iter()
-        .chain(load)
         .chain(store)
         .chain(to_one)
         .chain(crashes)
         .chain(rates)
         .chain(recency);
-    all.filter_map(|(to, datagram)| {
-        let bytes = bincode::serde::encode_to_vec(datagram, bincode::config::standard());
-        Some(Outgoing {
-            to,
-            bytes: bytes.ok()?,
-        })
-    })
-    .collect()
+    let all = all.filter_map(|(to, datagram)| {
+        let bytes = encode(&datagram)?;
+        Some(Outgoing { to, bytes })
+    });
+    all.chain(load).collect()
 }
 
 /// Returns the requests for lost changes and the answers to such requests, each for one host.
@@ -412,47 +524,108 @@
     Some((recipients.map(|peer| peer.address).collect(), update))
 }
 
-/// Returns the load update for the [`recipients`], if there is anything to send.
-fn load_update<B>(
-    host: &Host<B>,
-    unavailable: Vec<EngineUnavailable>,
-) -> Option<(Vec<SocketAddr>, Datagram)> {
+/// Returns the load update for the [`recipients`], if there is anything to send. The progress of the
+/// engines has a datagram of its own if both do not fit into one.
+fn load_update<B>(host: &Host<B>, unavailable: Vec<EngineUnavailable>) -> Vec<Outgoing> {
     let prefills = std::mem::take(&mut *host.peers.prefills.borrow_mut());
-    let streams = own_streams(host);
-    if prefills.is_empty() && streams.is_empty() && unavailable.is_empty() {
-        return None;
+    let is_count_due = !prefills.is_empty()
+        || !unavailable.is_empty()
+        || host.now_ms() >= host.peers.counts_ms.get() + COUNT_INTERVAL_MS;
+    // An update that only says that prefills have ended does not repeat the counts.
+    let (streams, decode) = if is_count_due {
+        host.peers.counts_ms.set(host.now_ms());
+        own_streams(host)
+    } else {
+        (Vec::new(), Vec::new())
+    };
+    let progress = EngineProgress {
+        ended: take_ended(host),
+        decode,
+    };
+    if prefills.is_empty() && streams.is_empty() && unavailable.is_empty() && progress.is_empty() {
+        return Vec::new();
     }
-    let update = Datagram::Load(LoadUpdate {
+    let update = |prefills, streams, unavailable| LoadUpdate {
         sender: hash_of(&host.deployment.name),
         prefills,
         streams,
         unavailable,
+    };
+    let (to, are_all) = recipients(host);
+    let load = Datagram::Load(update(prefills, streams, unavailable));
+    let Some(mut bytes) = encode(&load) else {
+        return Vec::new();
+    };
+    // With a sample of recipients, most would never learn of the end of a prefill that they know of.
+    let progress_bytes = are_all.then(|| encode(&progress)).flatten();
+    let mut datagrams = Vec::new();
+    if let Some(progress_bytes) = progress_bytes {
+        if bytes.len() + progress_bytes.len() > MAX_DATAGRAM_BYTES {
+            let empty = Datagram::Load(update(Vec::new(), Vec::new(), Vec::new()));
+            let mut own = encode(&empty).unwrap_or_default();
+            own.extend(progress_bytes);
+            datagrams.push(own);
+            bytes.extend(encode(&EngineProgress::default()).unwrap_or_default());
+        } else {
+            bytes.extend(progress_bytes);
+        }
+    }
+    datagrams.insert(0, bytes);
+    let outgoing = datagrams.into_iter().map(|bytes| Outgoing {
+        to: to.clone(),
+        bytes,
     });
-    Some((recipients(host), update))
+    outgoing.collect()
+}
+
+/// Removes and returns the ends of prefills for the next datagram.
+fn take_ended<B>(host: &Host<B>) -> Vec<PrefillEnd> {
+    let mut ended = host.peers.ended.borrow_mut();
+    let count = ended.len().min(MAX_PREFILL_ENDS);
+    ended.drain(..count).collect()
+}
+
+fn encode(content: &impl Serialize) -> Option<Vec<u8>> {
+    bincode::serde::encode_to_vec(content, bincode::config::standard()).ok()
 }
 
 /// Returns this host's number of generations on each engine where it is not 0 or was not 0 in the
-/// last announcement.
-fn own_streams<B>(host: &Host<B>) -> Vec<StreamCount> {
-    let mut directory = host.directory.borrow_mut();
-    let counts = directory.iter_mut().filter_map(|backend| {
-        let streams = backend.load.streams;
-        let announced = std::mem::replace(&mut backend.load.announced_streams, streams);
-        (streams > 0 || announced > 0).then_some(StreamCount {
-            engine: backend.id_hash(),
-            streams,
-            tokens: backend.load.tokens,
-        })
-    });
-    counts.collect()
+/// last announcement, and the decode speeds that are due.
+fn own_streams<B>(host: &Host<B>) -> (Vec<StreamCount>, Vec<DecodeSlowness>) {
+    let now_ms = host.now_ms();
+    let mut counts = Vec::new();
+    let mut decode = Vec::new();
+    for backend in host.directory.borrow_mut().iter_mut() {
+        let engine = backend.id_hash();
+        let load = &mut backend.load;
+        let announced = std::mem::replace(&mut load.announced_streams, load.streams);
+        if load.streams == 0 && announced == 0 {
+            continue;
+        }
+        counts.push(StreamCount {
+            engine,
+            streams: load.streams,
+            tokens: load.tokens,
+        });
+        if decode.len() < MAX_DECODE_NEWS
+            && let Some(slowness) = load.take_decode_news(now_ms)
+        {
+            decode.push(DecodeSlowness {
+                engine,
+                slowness_percent: (slowness * 100.0) as u32,
+            });
+        }
+    }
+    (counts, decode)
 }
 
 /// Returns the recipients of a load update: the other hosts of this host's availability zone if the
 /// zone has enough backends, otherwise all other hosts. If there are too many, a new sample is
-/// drawn each time.
-fn recipients<B>(host: &Host<B>) -> Vec<SocketAddr> {
+/// drawn each time. Also returns whether they are all.
+fn recipients<B>(host: &Host<B>) -> (Vec<SocketAddr>, bool) {
     let zone = &host.deployment.zone;
     let is_within_zone = host.directory.borrow().shares_load_within_zone(zone);
+    host.peers.is_within_zone.set(is_within_zone);
     let hosts = host.peers.hosts.borrow();
     let in_scope = hosts
         .values()
@@ -460,9 +633,8 @@
     let addresses: Vec<SocketAddr> = in_scope.map(|peer| peer.address).collect();
     let start = host.draw() as usize % addresses.len().max(1);
     let from_start = addresses.iter().copied().cycle().skip(start);
-    from_start
-        .take(addresses.len().min(MAX_RECIPIENTS))
-        .collect()
+    let count = addresses.len().min(MAX_RECIPIENTS);
+    (from_start.take(count).collect(), count == addresses.len())
 }
 
 /// Handles a datagram from another host; one that cannot be decoded is ignored.
@@ -470,7 +642,7 @@
     let decoded: Result<(Datagram, usize), _> =
         bincode::serde::decode_from_slice(bytes, bincode::config::standard());
     match decoded {
-        Ok((Datagram::Load(update), _)) => apply_load(host, update),
+        Ok((Datagram::Load(update), length)) => apply_load(host, update, &bytes[length..]),
         Ok((Datagram::Store(update), _)) => host.relay.receive(update),
         Ok((Datagram::StoreRequest(request), _)) => host.relay.receive_request(request),
         Ok((Datagram::Crashes(reports), _)) => apply_crashes(host, &reports),
@@ -511,8 +683,16 @@
     crashes::report_identified(host);
 }
 
-fn apply_load<B>(host: &Host<B>, update: LoadUpdate) {
+/// Applies a load update; `rest` is what follows it in the datagram.
+fn apply_load<B>(host: &Host<B>, update: LoadUpdate, rest: &[u8]) {
     let now_ms = host.now_ms();
+    let progress: Option<(EngineProgress, usize)> =
+        bincode::serde::decode_from_slice(rest, bincode::config::standard()).ok();
+    let source = if progress.is_some() {
+        PrefillSource::Told(update.sender)
+    } else {
+        PrefillSource::Untold
+    };
     let mut directory = host.directory.borrow_mut();
     for count in update.streams {
         if let Some(key) = directory.find_by_hash(count.engine) {
@@ -531,29 +711,67 @@
         let Some(key) = directory.find_by_hash(prefill.engine) else {
             continue;
         };
-        let prefill_ms = f64::from(prefill.prefill_tenths_ms) / 10.0;
-        host.demand.borrow_mut().add_prefill(prefill_ms);
         let load = &mut directory.get_mut(key).load;
-        load.add_prefill(prefill_ms, now_ms);
+        let mut demand = host.demand.borrow_mut();
+        demand.add_prefill(prefill.work_ms() / load.prefill_speed);
+        load.add_prefill(source, prefill.work_ms(), now_ms);
         if prefill.shared_hash != 0 {
             load.record_cached(&[(prefill.shared_hash, prefill.shared_tokens)], now_ms);
         }
     }
+    if let Some((progress, _)) = progress {
+        apply_progress(host, &mut directory, source, &progress);
+    }
+}
+
+fn apply_progress<B>(
+    host: &Host<B>,
+    directory: &mut Directory,
+    source: PrefillSource,
+    progress: &EngineProgress,
+) {
+    let now_ms = host.now_ms();
+    for end in &progress.ended {
+        let Some(key) = directory.find_by_hash(end.engine) else {
+            continue;
+        };
+        let load = &mut directory.get_mut(key).load;
+        let work_ms = from_tenths_ms(end.work_tenths_ms);
+        load.end_prefill(source, work_ms, end.is_completed, now_ms);
+        if let Some(sample) = end.sample(is_queue_known(host, directory, key)) {
+            directory.record_prefill(key, &sample, now_ms);
+        }
+    }
+    for decode in &progress.decode {
+        if let Some(key) = directory.find_by_hash(decode.engine) {
+            let load = &mut directory.get_mut(key).load;
+            let slowness = f64::from(decode.slowness_percent) / 100.0;
+            load.speed.record_decode(slowness, 1.0, now_ms);
+            load.decode_speed = load.speed.decode_speed(now_ms);
+        }
+    }
+}
+
+/// Whether the hosts that give an engine work announce it to this one.
+pub fn is_queue_known<B>(host: &Host<B>, directory: &Directory, key: BackendKey) -> bool {
+    let is_same_zone = directory.get(key).entry.zone == host.deployment.zone;
+    is_same_zone || !host.peers.is_within_zone.get()
 }
 
-/// Creates the announcement of a prefill on the engine `key`. `prefixes` contains the hash and the
+/// Creates the announcement of a prefill with `work_ms` of work, in nominal milliseconds, on the
+/// engine `key`. `prefixes` contains the hash and the
 /// length of each prefix of the prompt; the shared prefix is the one without the last part.
 pub fn prefill_announcement<B>(
     host: &Host<B>,
     key: BackendKey,
-    prefill_ms: f64,
+    work_ms: f64,
     prefixes: &[(u64, u32)],
 ) -> PrefillAnnouncement {
     let shared = prefixes.len().checked_sub(2).map(|at| prefixes[at]);
     let (shared_hash, shared_tokens) = shared.unwrap_or_default();
     PrefillAnnouncement {
         engine: hash_of(&*host.target(key).id),
-        prefill_tenths_ms: (prefill_ms * 10.0) as u32,
+        prefill_tenths_ms: to_tenths_ms(work_ms),
         shared_hash,
         shared_tokens,
     }
--- a/crates/yucca-serve/src/prefill.rs
+++ b/crates/yucca-serve/src/prefill.rs
@@ -13,9 +13,9 @@
 use crate::crashes;
 use crate::directory::BackendKey;
 use crate::host::{Host, InFlight};
-use crate::loads::Reservation;
+use crate::loads::{PrefillSource, Reservation};
 use crate::named_limits;
-use crate::peers;
+use crate::peers::{self, PrefillEnd};
 use crate::ports::{Backends, CallFault, KvCacheHandle};
 use crate::reply::Reply;
 use crate::serve::{Progress, RequestContext, Stage};
@@ -103,27 +103,30 @@
     named_limits::record_request(host, key);
     let target = host.target(key);
     let started_ms = host.now_ms();
-    let pending_ms = begin_prefill(context, key, choice.prefill_ms);
+    let prefill = OutstandingPrefill::begin(context, key, choice);
+    let pending_ms = prefill.pending_ms;
     log::write(
         Event::Routed,
         &format!(
             "request={} route={} stage=read back_end={} pending_ms={pending_ms:.0} read_ms={:.0} \
-             first_token_ms={:.0} left_ms={}",
+             speed={:.2} latency_ms={:.0} first_token_ms={:.0} left_ms={}",
             context.request.id,
             context.route.name,
             target.id,
             choice.prefill_ms,
+            choice.prefill_speed,
+            choice.prefill_latency_ms,
             choice.first_token_ms,
             context.left_ms()
         ),
     );
-    let forecast_ms = pending_ms + choice.prefill_ms;
+    let forecast_ms = pending_ms + choice.prefill_ms + choice.prefill_latency_ms;
     let limit_ms = (forecast_ms * PREFILL_TIMEOUT_FACTOR) as u64 + PREFILL_TIMEOUT_SLACK_MS;
     let mut call = context.call();
     call.is_repeatable = true;
     call.prefix_source = prefix_source_address(context, choice);
-    let prefill = host.backends.prefill(&target, &context.request, call);
-    let outcome = match timeout(Duration::from_millis(limit_ms), prefill).await {
+    let response = host.backends.prefill(&target, &context.request, call);
+    let outcome = match timeout(Duration::from_millis(limit_ms), response).await {
         Ok(outcome) => outcome,
         Err(_) => {
             host.backends.close_idle(&target);
@@ -145,18 +148,10 @@
     if let Ok(prefilled) = &outcome {
         named_limits::record_response(host, key, prefilled.limit_per_s, started_ms);
     }
-    let now_ms = host.now_ms();
-    let mut directory = host.directory.borrow_mut();
-    let backend = directory.get_mut(key);
     if outcome.is_ok() {
-        let took_ms = (now_ms - started_ms) as f64;
-        backend.load.correct_forecast(took_ms - forecast_ms, now_ms);
-        backend.health.record_response(true);
-    } else {
-        // Half of the difference is applied, so that this removes the prefill from the forecast.
-        backend
-            .load
-            .correct_forecast(-2.0 * choice.prefill_ms, now_ms);
+        prefill.complete(choice.prefix_source.is_some());
+        let mut directory = host.directory.borrow_mut();
+        directory.get_mut(key).health.record_response(true);
     }
     outcome.map(|prefilled| prefilled.kv_cache)
 }
@@ -176,27 +171,95 @@
         .any(|backend| backend.load.cached_tokens(shared, now_ms) == tokens)
 }
 
-/// Adds the prefill of the prompt to the engine's load and announces it to the other hosts. Returns
-/// the forecast time of the prefills ahead of it, in milliseconds.
-pub fn begin_prefill<B: Backends>(
-    context: &RequestContext<B>,
+/// A prefill that an engine was given. Dropping it removes it from the engine's load and announces
+/// that it has ended.
+pub struct OutstandingPrefill<B> {
+    host: Rc<Host<B>>,
     key: BackendKey,
-    prefill_ms: f64,
-) -> f64 {
-    let host = &context.host;
-    let now_ms = host.now_ms();
-    let prefixes = context.request.prompt.as_ref().map(choose::prefixes);
-    let prefixes = prefixes.unwrap_or_default();
-    host.demand.borrow_mut().add_prefill(prefill_ms);
-    let announcement = peers::prefill_announcement(host, key, prefill_ms, &prefixes);
-    if !is_shared_prefix_cached(host, &prefixes) {
-        host.peers.announce_shared_prefix(announcement);
+    source: PrefillSource,
+    /// Work as it was announced, in nominal milliseconds.
+    work_ms: f64,
+    /// Work ahead of it, in nominal milliseconds.
+    ahead_ms: f64,
+    /// Forecast time of the prefills ahead of it, in milliseconds.
+    pub pending_ms: f64,
+    started_ms: u64,
+    /// Time that a completed remote prefill took.
+    took_ms: Option<f64>,
+    is_completed: bool,
+}
+
+impl<B: Backends> OutstandingPrefill<B> {
+    /// Adds the prefill of the prompt to the engine's load and announces it to the other hosts.
+    pub fn begin(context: &RequestContext<B>, key: BackendKey, choice: &EngineChoice) -> Self {
+        let host = &context.host;
+        let now_ms = host.now_ms();
+        let prefixes = context.request.prompt.as_ref().map(choose::prefixes);
+        let prefixes = prefixes.unwrap_or_default();
+        let announcement =
+            peers::prefill_announcement(host, key, choice.prefill_work_ms, &prefixes);
+        let work_ms = announcement.work_ms();
+        if !is_shared_prefix_cached(host, &prefixes) {
+            host.peers.announce_shared_prefix(announcement);
+        }
+        host.announce_prefill(announcement);
+        let source = PrefillSource::Own(host.peers.next_prefill());
+        let mut directory = host.directory.borrow_mut();
+        let load = &mut directory.get_mut(key).load;
+        host.demand
+            .borrow_mut()
+            .add_prefill(work_ms / load.prefill_speed);
+        let pending_ms = load.pending_ms(now_ms);
+        let ahead_ms = pending_ms * load.prefill_speed;
+        load.add_prefill(source, work_ms, now_ms);
+        load.record_cached(&prefixes, now_ms);
+        Self {
+            host: Rc::clone(host),
+            key,
+            source,
+            work_ms,
+            ahead_ms,
+            pending_ms,
+            started_ms: now_ms,
+            took_ms: None,
+            is_completed: false,
+        }
+    }
+
+    /// Records that a remote prefill has ended now, from which the engine's speed is learned unless it
+    /// fetched a prefix: that takes the time of other engines and of the network.
+    pub fn complete(mut self, has_fetched: bool) {
+        self.is_completed = true;
+        if has_fetched {
+            return;
+        }
+        self.took_ms = Some((self.host.now_ms() - self.started_ms) as f64);
+    }
+
+    /// Records that a prefill has ended now as a part of a generation.
+    pub fn complete_in_generation(mut self) {
+        self.is_completed = true;
+    }
+}
+
+impl<B> Drop for OutstandingPrefill<B> {
+    fn drop(&mut self) {
+        let now_ms = self.host.now_ms();
+        let mut directory = self.host.directory.borrow_mut();
+        let backend = directory.get_mut(self.key);
+        let load = &mut backend.load;
+        let late_ahead_ms = load.end_prefill(self.source, self.work_ms, self.is_completed, now_ms);
+        let end = PrefillEnd::new(
+            backend.id_hash(),
+            self.work_ms,
+            self.ahead_ms + late_ahead_ms,
+            self.took_ms,
+            self.is_completed,
+        );
+        if let Some(sample) = end.sample(peers::is_queue_known(&self.host, &directory, self.key)) {
+            directory.record_prefill(self.key, &sample, now_ms);
+        }
+        drop(directory);
+        self.host.announce_prefill_end(end);
     }
-    host.announce_prefill(announcement);
-    let mut directory = host.directory.borrow_mut();
-    let load = &mut directory.get_mut(key).load;
-    let pending_ms = load.pending_ms(now_ms);
-    load.add_prefill(prefill_ms, now_ms);
-    load.record_cached(&prefixes, now_ms);
-    pending_ms
 }
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -12,6 +12,7 @@
 use yuccacove::event::Event;
 use yuccacove::forecast::{Decision, Forecast};
 use yuccacove::memory_budget::Purpose;
+use yuccacove::prompt_placement::{first_step_ms, start_ms};
 
 use crate::choose::{self, EngineChoice, PlacementInput};
 use crate::crashes::{self, Permission, TRIAL_POLL_MS};
@@ -22,7 +23,7 @@
 use crate::named_limits;
 use crate::plain::MAX_BUFFERED_BYTES;
 use crate::ports::{BackendResponse, Backends, CallFault, ResponseBody};
-use crate::prefill::{KvCacheGuard, begin_prefill, prefill_if_remote, prefix_source_address};
+use crate::prefill::{KvCacheGuard, OutstandingPrefill, prefill_if_remote, prefix_source_address};
 use crate::reply::{Interrupted, Reply, ReplyData};
 use crate::serve::{Progress, RequestContext, RunState, Stage};
 
@@ -268,6 +269,7 @@
         tokens_per_event: context.engine.tokens_per_event,
         slots: context.engine.slots,
         kv_tokens: context.engine.kv_tokens,
+        draw: host.draw(),
     };
     let excluded = context.excluded_backends();
     select(&host.directory.borrow(), &input, &excluded)
@@ -287,12 +289,13 @@
     call.resume_after = resume_after;
     call.urgency = DECODE_URGENCY;
     call.kv_cache = kv_cache.handle.clone();
-    let pending_ms = if call.kv_cache.is_some() {
-        0.0
+    let prefill = if call.kv_cache.is_some() {
+        None
     } else {
         call.prefix_source = prefix_source_address(context, choice);
-        begin_prefill(context, key, choice.prefill_ms)
+        Some(OutstandingPrefill::begin(context, key, choice))
     };
+    let pending_ms = prefill.as_ref().map_or(0.0, |prefill| prefill.pending_ms);
     log::write(
         Event::Routed,
         &format!(
@@ -317,14 +320,26 @@
     named_limits::record_response(host, key, response.limit_per_s, started_ms);
     let now_ms = host.now_ms();
     let took_ms = (now_ms - started_ms) as f64;
+    if let Some(prefill) = prefill {
+        prefill.complete_in_generation();
+    }
     let mut directory = host.directory.borrow_mut();
-    let load = &mut directory.get_mut(key).load;
+    let prompt = context.request.prompt.as_ref();
+    let decode_speed = directory.get(key).load.decode_speed;
     if has_prompt {
         // The engine keeps the fetched KV cache as a cached prefix.
-        let prefixes = context.request.prompt.as_ref().map(choose::prefixes);
-        load.record_cached(&prefixes.unwrap_or_default(), now_ms);
+        let prefixes = prompt.map(choose::prefixes).unwrap_or_default();
+        let load = &mut directory.get_mut(key).load;
+        load.record_cached(&prefixes, now_ms);
+        let forecast_ms = start_ms(prompt.map_or(0, |prompt| prompt.tokens), decode_speed);
+        directory.update_service_speed(key, |service| {
+            service.decode_delay.record(took_ms - forecast_ms);
+        });
     } else {
-        load.correct_forecast(took_ms - pending_ms - choice.prefill_ms, now_ms);
+        let forecast_ms = pending_ms + choice.prefill_ms + first_step_ms(decode_speed);
+        directory.update_service_speed(key, |service| {
+            service.one_stage_delay.record(took_ms - forecast_ms);
+        });
     }
     Ok(response)
 }
@@ -506,11 +521,15 @@
             return StreamEnd::Broken("event exceeds the size limit".to_owned());
         }
         if complete.is_some() {
+            let elapsed_ms = context.elapsed_ms();
             if opened.progress == Progress::Head {
                 crashes::record_sound(&context.host, &context.crash_keys);
                 opened.progress = Progress::Events;
+            } else if caller.capacity() == caller.max_capacity() {
+                // A caller that does not read delays the events.
+                record_gap(context, opened.key, elapsed_ms - times.last_ms);
             }
-            times.record(context.elapsed_ms());
+            times.record(elapsed_ms);
         }
         if let Some(complete) = complete {
             let sent = send_events(context, complete, caller).await;
@@ -521,6 +540,16 @@
     }
 }
 
+/// Records the time between two events of a stream, from which the decode speed of its engine is
+/// learned.
+fn record_gap<B: Backends>(context: &RequestContext<B>, key: BackendKey, gap_ms: u64) {
+    let host = &context.host;
+    let nominal_ms = f64::from(context.engine.tokens_per_event) * choose::TOKEN_MS;
+    let mut directory = host.directory.borrow_mut();
+    let load = &mut directory.get_mut(key).load;
+    load.record_decode(gap_ms as f64, nominal_ms, host.now_ms());
+}
+
 /// Sends complete events to the caller. The error is the end of the attempt.
 async fn send_events<B: Backends>(
     context: &RequestContext<B>,
--- a/crates/yucca-serve/tests/directory.rs
+++ b/crates/yucca-serve/tests/directory.rs
@@ -5,6 +5,7 @@
 
 use common::entry;
 use yucca_serve::directory::{BackendEntry, Change, Directory, RELIST_MS};
+use yucca_serve::loads::PrefillSource;
 use yuccacove::prompt_placement::Phase;
 
 fn desk() -> BackendEntry {
@@ -118,7 +119,7 @@
     let key = directory.find("i-1").expect("listed");
     let load = &mut directory.get_mut(key).load;
     load.record_cached(&[(7, 500)], 0);
-    load.add_prefill(900.0, 0);
+    load.add_prefill(PrefillSource::Own(1), 900.0, 0);
     directory.get_mut(key).health.record_unreachable(0);
     let restarted = BackendEntry {
         started_ms: 2,
--- a/crates/yucca-serve/tests/peers.rs
+++ b/crates/yucca-serve/tests/peers.rs
@@ -14,7 +14,9 @@
 use yucca_serve::follow::StoreHealth;
 use yucca_serve::hash::hash_of;
 use yucca_serve::host::{Deployment, Host};
-use yucca_serve::peers::{EngineUnavailable, exchange, follow_hosts, prefill_announcement};
+use yucca_serve::peers::{
+    EngineUnavailable, PrefillEnd, exchange, follow_hosts, prefill_announcement,
+};
 use yucca_serve::ports::Kind;
 use yuccacove::prompt_placement::Phase;
 
@@ -111,3 +113,33 @@
         assert!(pending_ms(&far) == 0.0, "prefill announced to another zone");
     });
 }
+
+/// The end of a prefill must reach the hosts that know of it. Guards against queues that hosts let drain
+/// by time, which stay full or seem empty at engines of another speed.
+#[test]
+fn exchange_prefill_end() {
+    /// Far longer than [`TIMEOUT`], so that it does not drain by time.
+    const WORK_MS: f64 = 60_000.0;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let store = FakeStore::new();
+        let sender = spawn_host("entry-1", "a", &store).await;
+        let near = spawn_host("entry-2", "a", &store).await;
+        let store_health = Rc::new(StoreHealth::default());
+        spawn_local(follow_hosts(
+            Rc::clone(&sender),
+            Rc::clone(&store),
+            store_health,
+        ));
+        until(|| sender.peers.count() == 1).await;
+        let key = sender.directory.borrow().find("i-0").expect("listed");
+        sender.announce_prefill(prefill_announcement(&sender, key, WORK_MS, &[]));
+        until(|| pending_ms(&near) > 0.0).await;
+        let end = PrefillEnd::new(hash_of("i-0"), WORK_MS, 0.0, Some(900.0), true);
+        sender.announce_prefill_end(end);
+        until(|| pending_ms(&near) == 0.0).await;
+    });
+}
--- a/src/engine_speed.rs
+++ b/src/engine_speed.rs
@@ -30,6 +30,9 @@
 /// Bounds of a speed. They keep a faulty sample from removing an engine from use, and from giving it
 /// all work.
 const SPEED_BOUNDS: (f64, f64) = (0.1, 10.0);
+/// Largest speed of an engine as a multiple of the usual one. Short prompts whose queue was shorter than
+/// known would else make an engine seem several times faster, and all hosts would choose it.
+const MAX_USUAL_MULTIPLE: f64 = 1.5;
 /// Longest fixed latency of a remote prefill.
 const MAX_LATENCY_MS: f64 = 300.0;
 /// Samples of an engine that decide on its current speed.
@@ -44,7 +47,7 @@
 const PRIOR_WEIGHT: f64 = 30.0;
 /// Work of the expected speed that is added to each sample. Times are known to a few milliseconds,
 /// which is much of the time of a short prompt.
-const MEASUREMENT_MS: f64 = 4.0;
+const MEASUREMENT_MS: f64 = 6.0;
 /// Factor on the weight of a sample if other hosts may have given the engine unknown work.
 const UNKNOWN_QUEUE_WEIGHT: f64 = 0.25;
 /// Weight of the time between two events of a stream.
@@ -67,6 +70,9 @@
 const LATENCY_QUANTILE: f64 = 0.3;
 /// Interval at which the latency is determined again.
 const FIT_INTERVAL_MS: u64 = 1_000;
+/// Share by which the usual speed follows a new value. It changes slowly, because a burst during which
+/// all engines wait for something else must not make all of them seem slow.
+const USUAL_SHARE: f64 = 0.1;
 /// Range of the work, between the first and the last decile, that tells latency and speed apart.
 const MIN_WORK_RANGE_MS: f64 = 15.0;
 /// Number of values whose median is the latency. A single one is wrong by tens of milliseconds if some
@@ -193,9 +199,14 @@
     /// Latest values of the latency, which are empty until there are enough samples.
     fits: VecDeque<f64>,
     fitted_ms: u64,
+    fit_count: u32,
     /// Samples with the time at which they were recorded, and the work that an engine of the usual
     /// speed would do in the same time.
     samples: VecDeque<(u64, f64, PrefillSample)>,
+    /// Time by which generations with a remote prefill begin later than forecast.
+    pub decode_delay: RunningMedian,
+    /// Time by which generations without a remote prefill begin later than forecast.
+    pub one_stage_delay: RunningMedian,
 }
 
 impl Default for ServiceSpeed {
@@ -205,7 +216,10 @@
             usual: 1.0,
             fits: VecDeque::new(),
             fitted_ms: 0,
+            fit_count: 0,
             samples: VecDeque::new(),
+            decode_delay: RunningMedian::default(),
+            one_stage_delay: RunningMedian::default(),
         }
     }
 }
@@ -229,7 +243,8 @@
             let decode = engine.decode.current(1.0, now_ms).max(1.0);
             return 1.0 / (self.usual * decode);
         }
-        1.0 / engine.prefill.current(self.usual, now_ms)
+        let slowness = engine.prefill.current(self.usual, now_ms);
+        1.0 / slowness.max(self.usual / MAX_USUAL_MULTIPLE)
     }
 
     /// Records a remote prefill that `engine` has completed.
@@ -277,6 +292,7 @@
             return;
         }
         self.fitted_ms = now_ms;
+        self.fit_count = self.fit_count.saturating_add(1);
         if let Some(latency_ms) = self.fitted_latency_ms() {
             self.fits.push_back(latency_ms);
             if self.fits.len() > LATENCY_FITS {
@@ -289,7 +305,9 @@
         let samples = self.samples.iter();
         let values =
             samples.map(|(.., sample)| (sample.slowness(self.latency_ms, usual), sample.weight()));
-        self.usual = weighted_median(values.collect());
+        let usual = weighted_median(values.collect());
+        let share = USUAL_SHARE.max(1.0 / f64::from(self.fit_count));
+        self.usual *= (usual / self.usual).powf(share);
     }
 
     /// Returns the intercept of the line through work and time, by the method of Theil and Sen: the
--- a/src/prompt_placement.rs
+++ b/src/prompt_placement.rs
@@ -40,6 +40,9 @@
 const TRANSFER_MS_PER_KILOTOKEN: f64 = 1.1;
 /// Cost of a kilobyte that is sent to another availability zone, as an equivalent delay.
 const CROSS_ZONE_MS_PER_KB: f64 = 4.0;
+/// Cost of a millisecond by which an engine exceeds the allowed gap with each event, as an equivalent
+/// delay. Such a stream misses its target even if it begins in time.
+const GAP_EXCESS_COST: f64 = 10.0;
 /// Fraction of the allowed gap between events for which prefill may stall a decode engine.
 const STALL_SHARE: f64 = 0.35;
 
@@ -79,8 +82,10 @@
     pub reachable_tokens: u32,
     /// Whether the engine is in another availability zone than the host.
     pub is_remote: bool,
-    /// Speed relative to the published speed of the engine, which is 1.0.
+    /// Prefill speed relative to the published speed of the engine, which is 1.0.
     pub speed: f64,
+    /// Decode speed relative to the published one; 0 if unknown.
+    pub decode_speed: f64,
     /// Expected cost of failures, as an equivalent delay in milliseconds.
     pub failure_cost_ms: f64,
 }
@@ -97,6 +102,21 @@
     /// Maximum gap between events minus the time to generate an event's tokens, in milliseconds; 0
     /// for no limit.
     pub max_gap_ms: f64,
+    /// Time to generate an event's tokens at the published speed, in milliseconds.
+    pub event_ms: f64,
+    /// Delays that do not depend on the engine.
+    pub delays: Delays,
+}
+
+/// Delays of calls to engines that are not caused by load, in milliseconds.
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
+pub struct Delays {
+    /// Of a remote prefill.
+    pub prefill_ms: f64,
+    /// Of a generation whose prefill another engine has run.
+    pub decode_ms: f64,
+    /// Of a generation whose engine also runs its prefill.
+    pub one_stage_ms: f64,
 }
 
 /// Engines for a request, as indices into the slice passed to [`choose`].
@@ -136,6 +156,18 @@
     (new / PREFILL_TOKENS_PER_MS + megapairs * ATTENTION_MS_PER_MEGAPAIR) / speed.max(0.05)
 }
 
+/// Returns the forecast time from the call that starts a generation until its first token, in
+/// milliseconds, if another engine has run the prefill of its `tokens` tokens.
+pub fn start_ms(tokens: u32, decode_speed: f64) -> f64 {
+    transfer_ms(tokens) + first_step_ms(decode_speed)
+}
+
+/// Returns the forecast time from the end of the prefill until the first token, in milliseconds, if
+/// the engine that decodes has run it.
+pub fn first_step_ms(decode_speed: f64) -> f64 {
+    STEP_MS / decode_speed
+}
+
 /// Returns the placement with the lowest score, or `None` if there is no decode engine.
 pub fn choose(engines: &[EngineView], prompt: &Prompt) -> Option<Choice> {
     let one_stage = best_one_stage(engines, prompt);
@@ -153,10 +185,12 @@
 /// are prefill engines.
 fn best_one_stage(engines: &[EngineView], prompt: &Prompt) -> Option<(f64, Choice)> {
     let has_prefill = engines.iter().any(|e| e.phase == Phase::Prefill);
-    let max_stall_ms = if has_prefill && prompt.max_gap_ms > 0.0 {
-        prompt.max_gap_ms * STALL_SHARE
-    } else {
-        f64::INFINITY
+    let max_stall_ms = |engine: &EngineView| {
+        if has_prefill && prompt.max_gap_ms > 0.0 {
+            gap_left_ms(engine, prompt).max(0.0) * STALL_SHARE
+        } else {
+            f64::INFINITY
+        }
     };
     engines
         .iter()
@@ -164,18 +198,19 @@
         .filter(|(_, engine)| engine.phase == Phase::Decode)
         .filter_map(|(decode, engine)| {
             let time = prefill_time(engine, prompt, engine.speed * DECODE_PREFILL_SHARE);
-            if engine.stall_ms + time.compute_ms > max_stall_ms {
+            if engine.stall_ms + time.compute_ms > max_stall_ms(engine) {
                 return None;
             }
-            let score =
-                engine.pending_ms + time.total_ms() + step_ms(engine) + nearly_full_ms(engine);
+            let start_ms = engine.pending_ms + time.total_ms() + prompt.delays.one_stage_ms;
+            let busy_ms = step_ms(engine) + nearly_full_ms(engine) + gap_cost_ms(engine, prompt);
             let traffic_ms = cross_zone_ms(engine, prompt.request_kb + prompt.response_kb);
             let choice = Choice {
                 placement: Placement::OneStage { decode },
-                first_token_ms: engine.pending_ms + time.total_ms() + STEP_MS + queue_ms(engine),
+                first_token_ms: start_ms + first_step_ms(decode_speed(engine)) + queue_ms(engine),
                 prefill_ms: time.compute_ms,
             };
-            Some((score + traffic_ms + engine.failure_cost_ms, choice))
+            let score = start_ms + busy_ms + traffic_ms + engine.failure_cost_ms;
+            Some((score, choice))
         })
         .min_by(|a, b| a.0.total_cmp(&b.0))
 }
@@ -227,19 +262,19 @@
         })
         .min_by(|a, b| a.0.total_cmp(&b.0))?;
     let (decode_score, decode) = best_decode(engines, prompt)?;
-    let transfer_ms = transfer_ms(prompt.tokens);
+    let delays_ms = prompt.delays.prefill_ms + prompt.delays.decode_ms;
     let prefill_engine = &engines[prefill];
     let time = prefill_time(prefill_engine, prompt, prefill_engine.speed);
     let choice = Choice {
         placement: Placement::TwoStage { prefill, decode },
         first_token_ms: prefill_engine.pending_ms
             + time.total_ms()
-            + transfer_ms
-            + STEP_MS
+            + delays_ms
+            + start_ms(prompt.tokens, decode_speed(&engines[decode]))
             + queue_ms(&engines[decode]),
         prefill_ms: time.compute_ms,
     };
-    Some((prefill_score + decode_score, choice))
+    Some((prefill_score + decode_score + delays_ms, choice))
 }
 
 /// Returns the index of the best decode engine for a prompt that a prefill engine has processed, or
@@ -257,7 +292,10 @@
             let traffic_ms = cross_zone_ms(engine, prompt.request_kb + prompt.response_kb);
             // Prefill on the decode engine is interleaved with decode, so only part of it delays a
             // step.
-            let busy_ms = step_ms(engine) + engine.pending_ms.min(20.0) + nearly_full_ms(engine);
+            let busy_ms = step_ms(engine)
+                + engine.pending_ms.min(20.0)
+                + nearly_full_ms(engine)
+                + gap_cost_ms(engine, prompt);
             (
                 transfer_ms(prompt.tokens) + busy_ms + traffic_ms + engine.failure_cost_ms,
                 index,
@@ -266,10 +304,33 @@
         .min_by(|a, b| a.0.total_cmp(&b.0))
 }
 
+fn decode_speed(engine: &EngineView) -> f64 {
+    if engine.decode_speed > 0.0 {
+        engine.decode_speed
+    } else {
+        1.0
+    }
+}
+
 fn step_ms(engine: &EngineView) -> f64 {
-    STEP_MS
+    let nominal_ms = STEP_MS
         + STEP_MS_PER_STREAM * f64::from(engine.streams)
-        + STEP_MS_FULL_MEMORY * engine.memory_use
+        + STEP_MS_FULL_MEMORY * engine.memory_use;
+    nominal_ms / decode_speed(engine)
+}
+
+/// Part of the allowed gap that the generation of an event's tokens leaves; negative if the engine
+/// exceeds the gap with each event.
+fn gap_left_ms(engine: &EngineView, prompt: &Prompt) -> f64 {
+    let slower_ms = prompt.event_ms * (1.0 / decode_speed(engine) - 1.0);
+    prompt.max_gap_ms - slower_ms.max(0.0)
+}
+
+fn gap_cost_ms(engine: &EngineView, prompt: &Prompt) -> f64 {
+    if prompt.max_gap_ms <= 0.0 {
+        return 0.0;
+    }
+    (-gap_left_ms(engine, prompt)).max(0.0) * GAP_EXCESS_COST
 }
 
 /// Forecast wait for a slot or for memory. Streams beyond the engine's capacity wait until others
--- a/tests/prompt_placement.rs
+++ b/tests/prompt_placement.rs
@@ -21,6 +21,7 @@
         request_kb: 1.0,
         response_kb: 3.0,
         max_gap_ms: 110.0,
+        ..Prompt::default()
     }
 }
 
