--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod crashes;
 pub mod demand;
 pub mod directory;
+mod engine_reports;
 pub mod events;
 pub mod follow;
 pub mod hash;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod crash_cause;
 pub mod engine_demand;
 pub mod engine_scaling;
+pub mod engine_speed;
 pub mod error;
 pub mod event;
 pub mod fleet_rate;
