Count requests by organisation and report the windows to the control API

Hosts count requests of organisations, keep copies of their counts at two replica hosts, and the lease holder collects, writes and reports each window.

--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -26,6 +26,7 @@
 use crate::ports::{Backends, NoticeContent, Object, Target};
 use crate::recency::{ConfigId, ConfigRecency};
 use crate::relay::Relay;
+use crate::usage::HostUsage;
 
 /// Fraction of the allowed retries that hosts use. The rest is a margin, because hosts count their
 /// time windows independently of each other.
@@ -121,6 +122,8 @@
     /// Recency of the configuration; `None` if the time for which a withdrawn API key is accepted is not
     /// limited.
     pub recency: Option<ConfigRecency>,
+    /// Counts for usage reports; `None` if none are due.
+    pub usage: Option<HostUsage>,
     config: RefCell<Option<Rc<ServingConfig>>>,
     config_order: RefCell<ConfigOrder>,
     retry_budgets: RefCell<IndexMap<String, Budget>>,
@@ -142,6 +145,9 @@
         let relay = Relay::new(&deployment.name, deployment.change_bound_ms());
         let memory = Memory::new(deployment.memory_bytes);
         let recency = deployment.revoke_ms.map(ConfigRecency::new);
+        let incarnation = hash_of((draw_seed, own.0));
+        let usage = deployment.usage;
+        let usage = usage.map(|timing| HostUsage::new(timing, own, incarnation));
         Self {
             deployment,
             memory,
@@ -157,6 +163,7 @@
             metrics: Metrics::default(),
             clock: BootClock::default(),
             recency,
+            usage,
             config: RefCell::default(),
             config_order: RefCell::default(),
             retry_budgets: RefCell::default(),
@@ -190,6 +197,13 @@
         self.config.borrow().clone()
     }
 
+    /// Whether the active configuration has organisations.
+    pub fn has_organisations(&self) -> bool {
+        let config = self.config.borrow();
+        let config = config.as_ref();
+        config.is_some_and(|config| !config.organisations.is_empty())
+    }
+
     /// Activates a configuration if its version is higher than that of the active one.
     pub fn set_config(&self, config: ServingConfig) {
         let known = self.config.borrow().as_ref().map(|c| c.version);
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -52,3 +52,4 @@
 pub mod serve;
 pub mod store_calls;
 pub mod stream;
+pub mod usage;
--- a/crates/yucca-serve/src/metrics.rs
+++ b/crates/yucca-serve/src/metrics.rs
@@ -44,6 +44,14 @@
     pub invalid_responses: Counter,
     /// Requests and parts of prompts that are refused because they crashed backends.
     pub refused_parts: Gauge,
+    /// Requests counted for usage reports.
+    pub usage_counted: Counter,
+    /// Time windows whose usage the control API has taken from this host.
+    pub usage_reported: Counter,
+    /// Those of them that were reported after they were due.
+    pub usage_late: Counter,
+    /// Reports of usage that this host, as the holder, has yet to get acknowledged.
+    pub usage_pending: Gauge,
     /// Calls to the object store.
     pub store_calls: Rc<StoreCalls>,
     refused: Family<ByCode, Counter>,
@@ -62,6 +70,10 @@
             engine_crashes: Counter::default(),
             invalid_responses: Counter::default(),
             refused_parts: Gauge::default(),
+            usage_counted: Counter::default(),
+            usage_reported: Counter::default(),
+            usage_late: Counter::default(),
+            usage_pending: Gauge::default(),
             store_calls: Rc::default(),
             refused: Family::default(),
             failed: Family::default(),
@@ -124,6 +136,26 @@
             "Requests and parts of prompts that are refused because they crashed back ends",
             self.refused_parts.clone(),
         );
+        registry.register(
+            "usage_counted",
+            "Requests counted for usage reports",
+            self.usage_counted.clone(),
+        );
+        registry.register(
+            "usage_reported",
+            "Time windows reported by this host",
+            self.usage_reported.clone(),
+        );
+        registry.register(
+            "usage_late",
+            "Time windows reported after they were due",
+            self.usage_late.clone(),
+        );
+        registry.register(
+            "usage_pending",
+            "Reports of usage that are not acknowledged",
+            self.usage_pending.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the object store",
--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -28,6 +28,7 @@
 use crate::ports::{Kind, Object, ObjectStore, Objects, StoreFault};
 use crate::recency::{Answer, Question};
 use crate::relay::{ChangeRequest, StoreUpdate};
+use crate::usage::{HostUsage, OtherHost, UsageMessage};
 
 /// Interval in which updates are collected before they are sent.
 const SEND_INTERVAL: Duration = Duration::from_millis(10);
@@ -107,6 +108,8 @@
     RecencyQuestion(Question),
     /// Answer to such a question.
     RecencyAnswer(Answer),
+    /// Counts for usage reports, and what the hosts agree on for them.
+    Usage(UsageMessage),
 }
 
 /// Load update: the sender's part of the engines' work.
@@ -198,7 +201,8 @@
         let has_updates = host.peers.has_updates()
             || host.relay.has_updates()
             || host.crash_causes.borrow().has_changes()
-            || host.rates.borrow().has_messages();
+            || host.rates.borrow().has_messages()
+            || host.usage.as_ref().is_some_and(HostUsage::has_messages);
         let interval = if has_updates {
             SEND_INTERVAL
         } else {
@@ -254,6 +258,7 @@
     let crashes = crash_updates(host, is_sample_due);
     let rates = rate_updates(host, is_sample_due);
     let recency = recency_messages(host);
+    let usage = usage_messages(host);
     let all = other_zones
         .into_iter()
         .chain(load)
@@ -261,7 +266,8 @@
         .chain(to_one)
         .chain(crashes)
         .chain(rates)
-        .chain(recency);
+        .chain(recency)
+        .chain(usage);
     all.filter_map(|(to, datagram)| {
         let bytes = bincode::serde::encode_to_vec(datagram, bincode::config::standard());
         Some(Outgoing {
@@ -368,6 +374,29 @@
     messages
 }
 
+/// Returns the messages on usage. Without organisations there is no usage to report.
+fn usage_messages<B>(host: &Host<B>) -> Vec<(Vec<SocketAddr>, Datagram)> {
+    let Some(usage) = host.usage.as_ref().filter(|_| host.has_organisations()) else {
+        return Vec::new();
+    };
+    let hosts = host.peers.hosts.borrow();
+    let others = hosts.values().map(|peer| OtherHost {
+        id: peer.id,
+        zone: peer.zone.clone(),
+    });
+    let others: Vec<OtherHost> = others.collect();
+    let zone = &host.deployment.zone;
+    let messages = usage.take_messages(zone, &others, host.clock.now_ms(), || host.draw());
+    let addresses = |ids: Vec<HostId>| {
+        let peers = hosts.values().filter(|peer| ids.contains(&peer.id));
+        peers.map(|peer| peer.address).collect()
+    };
+    let messages = messages.into_iter();
+    messages
+        .map(|(to, message)| (addresses(to), Datagram::Usage(message)))
+        .collect()
+}
+
 /// Draws [`SAMPLE_RECIPIENTS`] of the addresses.
 fn sample_recipients<B>(host: &Host<B>, all: &[SocketAddr]) -> Vec<SocketAddr> {
     let mut remaining = all.to_vec();
@@ -496,6 +525,11 @@
                 recency.receive_answer(answer);
             }
         }
+        Ok((Datagram::Usage(message), _)) => {
+            if let Some(usage) = &host.usage {
+                usage.receive(message, &host.peers.ids(), host.clock.now_ms());
+            }
+        }
         Err(_) => {}
     }
 }
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -130,6 +130,45 @@
     connection_failures: Cell<u32>,
     /// Time for which the request has waited for grants of limited backends.
     grant_wait_ms: Cell<u64>,
+    /// Time on the boot clock at which the request was first sent to a backend that may have run it.
+    begun_ms: Cell<u64>,
+    /// Whether the request was counted for the usage reports.
+    is_counted: Cell<bool>,
+}
+
+impl<B> Drop for RequestContext<B> {
+    /// Counts a plain request that a backend answered or may have run, however it ended: the caller
+    /// may have left meanwhile.
+    fn drop(&mut self) {
+        let is_plain = !matches!(self.route.kind, RouteKind::Stream { .. });
+        if is_plain && self.may_have_run.get() {
+            self.count_usage(self.begun_ms.get());
+        }
+    }
+}
+
+impl<B> RequestContext<B> {
+    /// Counts the request for the usage reports, unless it was counted before.
+    fn count_usage(&self, begun_ms: u64) {
+        let Some(organisation) = &self.request.organisation else {
+            return;
+        };
+        let host = &self.host;
+        let Some(usage) = host
+            .usage
+            .as_ref()
+            .filter(|_| !self.is_counted.replace(true))
+        else {
+            return;
+        };
+        host.metrics.usage_counted.inc();
+        usage.count(organisation, begun_ms, host.clock.now_ms());
+    }
+
+    /// Counts a generation, which begins to run with its first event.
+    pub fn count_generation(&self) {
+        self.count_usage(self.host.clock.now_ms());
+    }
 }
 
 impl<B: Backends> RequestContext<B> {
@@ -160,6 +199,8 @@
             may_have_run: Cell::new(false),
             connection_failures: Cell::new(0),
             grant_wait_ms: Cell::new(0),
+            begun_ms: Cell::new(0),
+            is_counted: Cell::new(false),
             route: route.clone(),
         }
     }
@@ -295,6 +336,9 @@
     /// Records whether a backend may have run the request. This is assumed from the start of a call
     /// until the backend states otherwise or the call turns out not to have been sent.
     pub fn set_may_have_run(&self, may_have_run: bool) {
+        if may_have_run && !self.may_have_run.get() {
+            self.begun_ms.set(self.host.clock.now_ms());
+        }
         self.may_have_run.set(may_have_run);
     }
 
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -509,6 +509,7 @@
             if opened.progress == Progress::Head {
                 crashes::record_sound(&context.host, &context.crash_keys);
                 opened.progress = Progress::Events;
+                context.count_generation();
             }
             times.record(context.elapsed_ms());
         }
--- /dev/null
+++ b/crates/yucca-serve/src/usage.rs
@@ -0,0 +1,1044 @@
+//! Usage reports: counts the requests of each organisation by time window, keeps copies of the counts
+//! at other hosts, and has the lease holder collect and report them.
+//!
+//! [`yuccacove::usage_window`] and [`yuccacove::fleet_clock`] decide; this module exchanges the messages
+//! and makes the calls. No request causes a call to the store.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::rc::Rc;
+
+use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+use tokio::time::{Duration, sleep, timeout};
+use yucca_io::clock::wall_ms;
+use yucca_io::log;
+use yuccacove::event::Event;
+use yuccacove::fleet_clock::{ClockSample, FleetClock};
+use yuccacove::fleet_rate::HostId;
+use yuccacove::usage_window::{
+    Action, CallOutcome, Majority, Report, Reporter, Reports, Source, Tally, Term, WriteOutcome,
+};
+
+use crate::hash::hash_of;
+use crate::host::{Host, UsageTiming};
+use crate::ports::{
+    CallFault, ControlApi, DutyHolder, DutyReply, Freshness, Kind, ObjectStore, UsageReport,
+};
+use crate::revision::era_of;
+use crate::roles::RoleLease;
+
+/// Name of the object with the reports in the store.
+pub const REPORTS_NAME: &str = "reports";
+/// Number of windows for which counts are kept, so that reports can wait for the store.
+const RETAINED_WINDOWS: u64 = 60;
+/// Time after the end of a window until it is collected. Requests are counted by then.
+const SETTLE_MS: u64 = 1_200;
+/// Longest time by which a request is counted before now. The rest of [`SETTLE_MS`] covers the
+/// difference between two hosts' estimates of true time.
+const MAX_BACKDATE_MS: u64 = 800;
+/// Interval at which changed counts are sent to the replica hosts.
+const REPLICATE_INTERVAL_MS: u64 = 500;
+/// Number of replica hosts.
+const REPLICAS: usize = 2;
+/// Number of times that a changed count is sent, as datagrams may be lost.
+const COPIES: u8 = 2;
+/// Time without news of a host after which its replica hosts send its counts without being asked.
+const UNHEARD_MS: u64 = 1_000;
+/// Interval at which other hosts' clocks are read.
+const CLOCK_INTERVAL_MS: u64 = 500;
+/// Number of clocks that are read at a time, and while the own estimate is not settled.
+const CLOCK_QUESTIONS: usize = 2;
+const FIRST_CLOCK_QUESTIONS: usize = 8;
+/// Interval at which the holder repeats a message to hosts that have not answered.
+const ASK_INTERVAL_MS: u64 = 400;
+/// Time for which the holder waits for hosts that do not answer, once most have.
+const SILENT_WAIT_MS: u64 = 1_600;
+/// Time after the end of a window at which the holder goes on with what it has.
+const COLLECT_LIMIT_MS: u64 = 5_000;
+/// Largest number of windows in one question.
+const MAX_WINDOWS: u64 = 8;
+/// Largest number of silent hosts that are named in one question.
+const MAX_SILENT: usize = 100;
+/// Largest size of the counts in a datagram. With the other fields a datagram stays below 1,280 bytes.
+const MAX_BLOCKS_BYTES: usize = 1_100;
+/// Largest size of a block's fields other than its entries.
+const BLOCK_BYTES: usize = 34;
+/// Share of the control API's calls that reports may use.
+const DUTY_SHARE: f64 = 0.2;
+/// Pause after a failed call to the store.
+const STORE_RETRY: Duration = Duration::from_millis(500);
+/// Interval of the holder's steps.
+const STEP: Duration = Duration::from_millis(50);
+
+/// Counts of one run of a host in one window.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Block {
+    source: Source,
+    window: u64,
+    entries: Vec<(String, u64)>,
+}
+
+/// A message about usage between two hosts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum UsageMessage {
+    /// Question for the wall clock of a host.
+    ClockQuestion {
+        /// Host that asks.
+        sender: HostId,
+        /// Time of the question on its boot clock.
+        sent_ms: u64,
+    },
+    /// Answer to such a question.
+    ClockAnswer {
+        /// Host that answers.
+        sender: HostId,
+        /// Time of the question.
+        sent_ms: u64,
+        /// Wall clock of the answering host.
+        wall_ms: u64,
+    },
+    /// Counts for a replica host.
+    Counts(Vec<Block>),
+    /// The holder asks for counts.
+    Question(Question),
+    /// A part of the answer to such a question.
+    Answer(Answer),
+    /// The holder tells that it is about to report a window.
+    Name {
+        /// The holder.
+        sender: HostId,
+        /// Epoch of its lease.
+        epoch: u64,
+        /// The window.
+        window: u64,
+    },
+    /// Confirms that a host remembers such a window.
+    Named {
+        /// Host that confirms.
+        sender: HostId,
+        /// Epoch in the message.
+        epoch: u64,
+        /// Window in the message.
+        window: u64,
+    },
+}
+
+/// Question of the holder for counts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    sender: HostId,
+    epoch: u64,
+    number: u64,
+    first: u64,
+    /// Number of windows; 0 to ask only for the windows that the host knows of.
+    windows: u64,
+    /// Hosts that do not answer. If there are any, only counts of these are asked for.
+    silent: Vec<HostId>,
+}
+
+/// A part of the answer to a [`Question`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    sender: HostId,
+    epoch: u64,
+    number: u64,
+    part: u32,
+    parts: u32,
+    /// Highest window that a holder named to the host.
+    remembered: Option<u64>,
+    /// First window of which the host has counts.
+    oldest: Option<u64>,
+    /// Whether the host's process started in the first window or later, so that an earlier one may have
+    /// counted requests.
+    is_new_run: bool,
+    blocks: Vec<Block>,
+}
+
+/// Another host, as messages are addressed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OtherHost {
+    /// Its id.
+    pub id: HostId,
+    /// Its availability zone.
+    pub zone: String,
+}
+
+/// Counts of this host and what it keeps for others.
+pub struct HostUsage {
+    /// When usage is reported.
+    pub timing: UsageTiming,
+    own: Source,
+    wall_ms: RefCell<Box<dyn Fn() -> u64>>,
+    state: RefCell<State>,
+    inquiry: RefCell<Option<Inquiry>>,
+    /// Notified when an answer arrives.
+    answered: Notify,
+}
+
+impl fmt::Debug for HostUsage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("HostUsage")
+            .field("own", &self.own)
+            .finish_non_exhaustive()
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    clock: FleetClock,
+    tally: Tally,
+    /// Changed counts, with the number of times that they are still to be sent.
+    changed: IndexMap<(u64, String), u8>,
+    /// Requests that wait until true time is known, with their times on the boot clock.
+    unassigned: Vec<(u64, Rc<str>)>,
+    /// Runs of other hosts of which counts are kept, with the time of the last news.
+    heard_ms: IndexMap<Source, u64>,
+    /// Highest window that a holder named.
+    remembered: Option<u64>,
+    /// Time of the start on the boot clock, and the window in which it was.
+    started_ms: Option<u64>,
+    started_window: Option<u64>,
+    /// Answers to clock questions that are due: the recipient and the time of the question.
+    clock_answers: Vec<(HostId, u64)>,
+    replies: Vec<(HostId, UsageMessage)>,
+    next_clock_ms: u64,
+    next_replica_ms: u64,
+}
+
+impl HostUsage {
+    /// Creates the state of a host that has counted nothing. `incarnation` must differ between the runs
+    /// of a host.
+    pub fn new(timing: UsageTiming, host: HostId, incarnation: u64) -> Self {
+        Self {
+            timing,
+            own: Source { host, incarnation },
+            wall_ms: RefCell::new(Box::new(wall_ms)),
+            state: RefCell::new(State {
+                clock: FleetClock::new(host),
+                tally: Tally::default(),
+                changed: IndexMap::new(),
+                unassigned: Vec::new(),
+                heard_ms: IndexMap::new(),
+                remembered: None,
+                started_ms: None,
+                started_window: None,
+                clock_answers: Vec::new(),
+                replies: Vec::new(),
+                next_clock_ms: 0,
+                next_replica_ms: 0,
+            }),
+            inquiry: RefCell::default(),
+            answered: Notify::new(),
+        }
+    }
+
+    /// Replaces the wall clock, for tests.
+    pub fn set_wall_clock(&self, clock: impl Fn() -> u64 + 'static) {
+        *self.wall_ms.borrow_mut() = Box::new(clock);
+    }
+
+    fn wall_ms(&self) -> u64 {
+        (self.wall_ms.borrow())()
+    }
+
+    /// Counts a request that began to run at `begun_ms` of the boot clock.
+    pub(crate) fn count(&self, organisation: &Rc<str>, begun_ms: u64, now_ms: u64) {
+        let begun_ms = begun_ms.max(now_ms.saturating_sub(MAX_BACKDATE_MS));
+        let mut state = self.state.borrow_mut();
+        state.unassigned.push((begun_ms, Rc::clone(organisation)));
+    }
+
+    /// Whether messages wait to be sent.
+    pub(crate) fn has_messages(&self) -> bool {
+        let state = self.state.borrow();
+        let has_questions = self.inquiry.borrow().as_ref().is_some_and(|i| i.is_due);
+        has_questions || !state.replies.is_empty() || !state.clock_answers.is_empty()
+    }
+
+    /// Returns true time if it is known well enough.
+    fn true_ms(&self, others: usize, now_ms: u64) -> Option<u64> {
+        let state = self.state.borrow();
+        let clock = Some(&state.clock).filter(|clock| clock.is_settled(others, now_ms))?;
+        clock.true_ms(now_ms)
+    }
+
+    /// Reads the own clocks, and assigns the requests counted since to their windows.
+    fn update(&self, others: usize, now_ms: u64) {
+        let wall_ms = self.wall_ms();
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        state.clock.record_own(now_ms, wall_ms);
+        let started_ms = *state.started_ms.get_or_insert(now_ms);
+        if !state.clock.is_settled(others, now_ms) {
+            return;
+        }
+        for (begun_ms, organisation) in std::mem::take(&mut state.unassigned) {
+            let Some(true_ms) = state.clock.true_ms(begun_ms) else {
+                continue;
+            };
+            let window = true_ms / self.timing.window_ms;
+            state.tally.count(window, self.own, &organisation);
+            let entry = (window, organisation.to_string());
+            state.changed.insert(entry, COPIES);
+        }
+        if let Some(true_ms) = state.clock.true_ms(now_ms) {
+            let window = true_ms / self.timing.window_ms;
+            let started_ms = true_ms.saturating_sub(now_ms.saturating_sub(started_ms));
+            let started_window = started_ms / self.timing.window_ms;
+            state.started_window.get_or_insert(started_window);
+            let kept_ms = RETAINED_WINDOWS * self.timing.window_ms;
+            state
+                .heard_ms
+                .retain(|_, heard_ms| now_ms.saturating_sub(*heard_ms) < kept_ms);
+            state
+                .tally
+                .forget_before(window.saturating_sub(RETAINED_WINDOWS));
+        }
+    }
+
+    /// Removes the messages that are due and returns them with their recipients.
+    pub(crate) fn take_messages(
+        &self,
+        zone: &str,
+        others: &[OtherHost],
+        now_ms: u64,
+        mut draw: impl FnMut() -> u64,
+    ) -> Vec<(Vec<HostId>, UsageMessage)> {
+        self.update(others.len(), now_ms);
+        let wall_ms = self.wall_ms();
+        let mut state = self.state.borrow_mut();
+        let replies = std::mem::take(&mut state.replies).into_iter();
+        let mut messages: Vec<_> = replies.map(|(to, message)| (vec![to], message)).collect();
+        for (to, sent_ms) in std::mem::take(&mut state.clock_answers) {
+            let answer = UsageMessage::ClockAnswer {
+                sender: self.own.host,
+                sent_ms,
+                wall_ms,
+            };
+            messages.push((vec![to], answer));
+        }
+        if now_ms >= state.next_clock_ms && !others.is_empty() {
+            state.next_clock_ms = now_ms + CLOCK_INTERVAL_MS;
+            let question = UsageMessage::ClockQuestion {
+                sender: self.own.host,
+                sent_ms: now_ms,
+            };
+            let to = clock_hosts(&state.clock, others, now_ms, &mut draw);
+            messages.push((to, question));
+        }
+        if now_ms >= state.next_replica_ms {
+            state.next_replica_ms = now_ms + REPLICATE_INTERVAL_MS;
+            let to = replicas(self.own.host, zone, others);
+            for blocks in split(state.take_changed(self.own)) {
+                messages.push((to.clone(), UsageMessage::Counts(blocks)));
+            }
+        }
+        drop(state);
+        if let Some(inquiry) = &mut *self.inquiry.borrow_mut() {
+            let others: Vec<HostId> = others.iter().map(|other| other.id).collect();
+            messages.extend(inquiry.take_messages(self.own.host, &others));
+        }
+        messages
+    }
+
+    /// Handles a message of another host.
+    pub(crate) fn receive(&self, message: UsageMessage, others: &[HostId], now_ms: u64) {
+        // Requests that were counted just now belong to the answer.
+        self.update(others.len(), now_ms);
+        let mut state = self.state.borrow_mut();
+        match message {
+            UsageMessage::ClockQuestion { sender, sent_ms } => {
+                state.clock_answers.push((sender, sent_ms));
+            }
+            UsageMessage::ClockAnswer {
+                sender,
+                sent_ms,
+                wall_ms,
+            } => {
+                let sample = ClockSample {
+                    sent_ms,
+                    received_ms: now_ms,
+                    wall_ms,
+                };
+                state.clock.record(sender, sample);
+            }
+            UsageMessage::Counts(blocks) => state.keep(self.own, &blocks, now_ms),
+            UsageMessage::Question(question) => {
+                let to = question.sender;
+                let answers = state.answers(self.own, &question, others, now_ms);
+                let answers = answers.into_iter();
+                let answers = answers.map(|answer| (to, UsageMessage::Answer(answer)));
+                state.replies.extend(answers);
+            }
+            UsageMessage::Answer(answer) => {
+                drop(state);
+                if let Some(inquiry) = &mut *self.inquiry.borrow_mut() {
+                    inquiry.record_answer(&answer, now_ms);
+                }
+                self.answered.notify_one();
+            }
+            UsageMessage::Name {
+                sender,
+                epoch,
+                window,
+            } => {
+                state.remembered = state.remembered.max(Some(window));
+                let named = UsageMessage::Named {
+                    sender: self.own.host,
+                    epoch,
+                    window,
+                };
+                state.replies.push((sender, named));
+            }
+            UsageMessage::Named {
+                sender,
+                epoch,
+                window,
+            } => {
+                drop(state);
+                if let Some(inquiry) = &mut *self.inquiry.borrow_mut() {
+                    inquiry.record_named(sender, epoch, window, now_ms);
+                }
+                self.answered.notify_one();
+            }
+        }
+    }
+}
+
+impl State {
+    /// Takes the own counts that are still to be sent to the replica hosts.
+    fn take_changed(&mut self, own: Source) -> Vec<Block> {
+        let mut blocks: IndexMap<u64, Vec<(String, u64)>> = IndexMap::new();
+        for ((window, organisation), copies) in &mut self.changed {
+            *copies -= 1;
+            let counts = self.tally.counts(*window, own);
+            if let Some(count) = counts.and_then(|counts| counts.get(organisation)) {
+                let entries = blocks.entry(*window).or_default();
+                entries.push((organisation.clone(), *count));
+            }
+        }
+        self.changed.retain(|_, copies| *copies > 0);
+        let blocks = blocks.into_iter();
+        let blocks = blocks.map(|(window, entries)| Block {
+            source: own,
+            window,
+            entries,
+        });
+        blocks.collect()
+    }
+
+    /// Keeps counts that another host sent as to a replica host.
+    fn keep(&mut self, own: Source, blocks: &[Block], now_ms: u64) {
+        for block in blocks.iter().filter(|block| block.source != own) {
+            self.tally.merge(block.window, block.source, &block.entries);
+            self.heard_ms.insert(block.source, now_ms);
+        }
+    }
+
+    /// Returns the parts of the answer to a question.
+    fn answers(
+        &self,
+        own: Source,
+        question: &Question,
+        others: &[HostId],
+        now_ms: u64,
+    ) -> Vec<Answer> {
+        let windows = question.windows.min(MAX_WINDOWS);
+        let mut blocks = Vec::new();
+        for window in question.first..question.first.saturating_add(windows) {
+            for source in self.tally.sources(window) {
+                let is_asked = if question.silent.is_empty() {
+                    source == own || self.is_orphan(source, own, others, now_ms)
+                } else {
+                    question.silent.contains(&source.host)
+                };
+                let counts = self.tally.counts(window, source).filter(|_| is_asked);
+                let entries = counts.into_iter().flatten();
+                let entries: Vec<_> = entries.map(|(name, n)| (name.clone(), *n)).collect();
+                if !entries.is_empty() {
+                    blocks.push(Block {
+                        source,
+                        window,
+                        entries,
+                    });
+                }
+            }
+        }
+        let mut datagrams = split(blocks);
+        if datagrams.is_empty() {
+            datagrams.push(Vec::new());
+        }
+        let parts = datagrams.len() as u32;
+        let answer = |(part, blocks)| Answer {
+            sender: own.host,
+            epoch: question.epoch,
+            number: question.number,
+            part,
+            parts,
+            remembered: self.remembered,
+            oldest: self.tally.windows().next(),
+            is_new_run: self.started_window.is_none_or(|w| w >= question.first),
+            blocks,
+        };
+        (0..parts).zip(datagrams).map(answer).collect()
+    }
+
+    /// Whether the holder may not get the counts of a run of a host from that host: it is an earlier
+    /// run, there are no news of it, or it is not listed.
+    fn is_orphan(&self, source: Source, own: Source, others: &[HostId], now_ms: u64) -> bool {
+        let Some(heard_ms) = self.heard_ms.get(&source).copied() else {
+            return false;
+        };
+        let is_superseded = self
+            .heard_ms
+            .iter()
+            .any(|(other, at_ms)| other.host == source.host && *at_ms > heard_ms);
+        let is_unheard = now_ms > heard_ms + UNHEARD_MS;
+        is_superseded || is_unheard || source.host == own.host || !others.contains(&source.host)
+    }
+}
+
+/// Returns the hosts whose clocks are read next: those with the oldest samples, in random order.
+fn clock_hosts(
+    clock: &FleetClock,
+    others: &[OtherHost],
+    now_ms: u64,
+    draw: &mut impl FnMut() -> u64,
+) -> Vec<HostId> {
+    let count = if clock.is_settled(others.len(), now_ms) {
+        CLOCK_QUESTIONS
+    } else {
+        FIRST_CLOCK_QUESTIONS
+    };
+    let mut ids: Vec<_> = others.iter().map(|other| (draw(), other.id)).collect();
+    // All samples count for 30 s, so that hosts of a large fleet are drawn at random.
+    ids.sort_by_key(|(draw, id)| (clock.sampled_ms(*id), *draw));
+    ids.into_iter().take(count).map(|(_, id)| id).collect()
+}
+
+/// Returns the replica hosts of `own`: other hosts of its availability zone, or any if there are too
+/// few, by rendezvous hash.
+fn replicas(own: HostId, zone: &str, others: &[OtherHost]) -> Vec<HostId> {
+    let rank = |other: &&OtherHost| (other.zone != zone, hash_of((own.0, other.id.0)));
+    let mut ranked: Vec<&OtherHost> = others.iter().collect();
+    ranked.sort_by_key(rank);
+    ranked.iter().take(REPLICAS).map(|other| other.id).collect()
+}
+
+/// Distributes blocks over datagrams of at most [`MAX_BLOCKS_BYTES`].
+fn split(blocks: Vec<Block>) -> Vec<Vec<Block>> {
+    /// Size of a count and of the length of a name, at most.
+    const ENTRY_BYTES: usize = 6;
+    let mut datagrams: Vec<Vec<Block>> = Vec::new();
+    let mut used_bytes = MAX_BLOCKS_BYTES;
+    for block in blocks {
+        let mut is_open = false;
+        for (name, count) in block.entries {
+            let entry_bytes = name.len() + ENTRY_BYTES;
+            let block_bytes = if is_open { 0 } else { BLOCK_BYTES };
+            if used_bytes + entry_bytes + block_bytes > MAX_BLOCKS_BYTES {
+                datagrams.push(Vec::new());
+                used_bytes = 0;
+                is_open = false;
+            }
+            let Some(datagram) = datagrams.last_mut() else {
+                continue;
+            };
+            if !std::mem::replace(&mut is_open, true) {
+                used_bytes += BLOCK_BYTES;
+                datagram.push(Block {
+                    source: block.source,
+                    window: block.window,
+                    entries: Vec::new(),
+                });
+            }
+            used_bytes += entry_bytes;
+            if let Some(open) = datagram.last_mut() {
+                open.entries.push((name, count));
+            }
+        }
+    }
+    datagrams
+}
+
+/// What the holder has asked the other hosts, and their answers.
+#[derive(Debug)]
+struct Inquiry {
+    term: Term,
+    majority: Majority,
+    /// Number of the last question. Numbers rise within a term.
+    number: u64,
+    /// Windows asked for; none at first, to learn which windows the hosts know of.
+    first: u64,
+    windows: u64,
+    asked_ms: u64,
+    next_ask_ms: u64,
+    is_due: bool,
+    /// Number of the first question for these windows.
+    first_number: u64,
+    answered: IndexSet<HostId>,
+    /// Parts received of an answer, by host, question number and part.
+    parts: IndexSet<(HostId, u64, u32)>,
+    /// Hosts of which an earlier run may have counts.
+    restarted: IndexSet<HostId>,
+    /// Counts in the answers. They are dropped once the windows are composed: those of all hosts of a
+    /// large fleet in all windows that are kept would take tens of megabytes.
+    tally: Tally,
+    remembered: Option<u64>,
+    oldest: Option<u64>,
+    /// Window that the other hosts are told of, and the hosts that confirmed it.
+    naming: Option<u64>,
+    named: IndexSet<HostId>,
+    is_name_due: bool,
+    next_name_ms: u64,
+}
+
+impl Inquiry {
+    fn new(term: Term, now_ms: u64) -> Self {
+        Self {
+            term,
+            majority: Majority::new(now_ms),
+            number: 0,
+            first: 0,
+            windows: 0,
+            asked_ms: now_ms,
+            next_ask_ms: now_ms,
+            is_due: false,
+            first_number: 1,
+            answered: IndexSet::new(),
+            parts: IndexSet::new(),
+            restarted: IndexSet::new(),
+            tally: Tally::default(),
+            remembered: None,
+            oldest: None,
+            naming: None,
+            named: IndexSet::new(),
+            is_name_due: false,
+            next_name_ms: 0,
+        }
+    }
+
+    /// Begins to ask for windows.
+    fn ask(&mut self, first: u64, windows: u64, now_ms: u64) {
+        self.first = first;
+        self.windows = windows;
+        self.asked_ms = now_ms;
+        self.next_ask_ms = now_ms;
+        self.first_number = self.number + 1;
+        self.answered.clear();
+        self.parts.clear();
+        self.restarted.clear();
+        self.tally = Tally::default();
+    }
+
+    /// Ends the questions for these windows.
+    fn end(&mut self) {
+        self.windows = 0;
+        self.next_ask_ms = u64::MAX;
+        self.tally = Tally::default();
+    }
+
+    /// Repeats the messages to the hosts that have not answered, at intervals.
+    fn advance(&mut self, now_ms: u64) {
+        if now_ms >= self.next_ask_ms {
+            self.next_ask_ms = now_ms + ASK_INTERVAL_MS;
+            self.number += 1;
+            self.is_due = true;
+        }
+        if self.naming.is_some() && now_ms >= self.next_name_ms {
+            self.next_name_ms = now_ms + ASK_INTERVAL_MS;
+            self.is_name_due = true;
+            self.is_due = true;
+        }
+    }
+
+    /// Begins to tell the hosts of a window.
+    fn name(&mut self, window: u64, now_ms: u64) {
+        if self.naming != Some(window) {
+            self.naming = Some(window);
+            self.named.clear();
+            self.next_name_ms = now_ms;
+        }
+    }
+
+    fn take_messages(
+        &mut self,
+        own: HostId,
+        others: &[HostId],
+    ) -> Vec<(Vec<HostId>, UsageMessage)> {
+        let mut messages = Vec::new();
+        if !std::mem::replace(&mut self.is_due, false) {
+            return messages;
+        }
+        let epoch = self.term.epoch;
+        let is_silent = |id: &HostId| !self.answered.contains(id);
+        let silent: Vec<HostId> = others.iter().copied().filter(is_silent).collect();
+        let question = Question {
+            sender: own,
+            epoch,
+            number: self.number,
+            first: self.first,
+            windows: self.windows,
+            silent: Vec::new(),
+        };
+        // At the third question hosts that are alive have had time to answer.
+        let mut lost: Vec<HostId> = self.restarted.iter().copied().collect();
+        if self.number >= self.first_number + 2 {
+            lost.extend(&silent);
+        }
+        lost.truncate(MAX_SILENT);
+        if self.windows > 0 && !lost.is_empty() {
+            let replicas = self.answered.iter().copied().collect();
+            let question = Question {
+                silent: lost,
+                ..question.clone()
+            };
+            messages.push((replicas, UsageMessage::Question(question)));
+        }
+        if !silent.is_empty() {
+            messages.push((silent, UsageMessage::Question(question)));
+        }
+        if let Some(window) = self
+            .naming
+            .filter(|_| std::mem::take(&mut self.is_name_due))
+        {
+            let name = UsageMessage::Name {
+                sender: own,
+                epoch,
+                window,
+            };
+            let is_unaware = |id: &HostId| !self.named.contains(id);
+            let unaware = others.iter().copied().filter(is_unaware).collect();
+            messages.push((unaware, name));
+        }
+        messages
+    }
+
+    fn record_answer(&mut self, answer: &Answer, now_ms: u64) {
+        if answer.epoch != self.term.epoch {
+            return;
+        }
+        self.majority.hear(answer.sender, now_ms);
+        self.remembered = self.remembered.max(answer.remembered);
+        self.oldest = [self.oldest, answer.oldest].into_iter().flatten().min();
+        if answer.number < self.first_number {
+            return;
+        }
+        for block in &answer.blocks {
+            self.tally.merge(block.window, block.source, &block.entries);
+        }
+        if answer.is_new_run {
+            self.restarted.insert(answer.sender);
+        }
+        let Answer {
+            sender,
+            number,
+            parts,
+            ..
+        } = *answer;
+        self.parts.insert((sender, number, answer.part));
+        if (0..parts).all(|part| self.parts.contains(&(sender, number, part))) {
+            self.answered.insert(sender);
+        }
+    }
+
+    fn record_named(&mut self, sender: HostId, epoch: u64, window: u64, now_ms: u64) {
+        if epoch == self.term.epoch && self.naming == Some(window) {
+            self.majority.hear(sender, now_ms);
+            self.named.insert(sender);
+        }
+    }
+
+    /// Whether the answers suffice. `is_late` means that the holder goes on with what it has.
+    fn is_complete(&self, others: &[HostId], is_late: bool, now_ms: u64) -> bool {
+        let asks_replicas = self.windows > 0 && !self.restarted.is_empty();
+        if !asks_replicas && others.iter().all(|id| self.answered.contains(id)) {
+            return true;
+        }
+        let is_heard = self.majority.is_heard(others, &self.answered, now_ms);
+        now_ms >= self.asked_ms + SILENT_WAIT_MS && (is_heard || is_late)
+    }
+}
+
+/// Reports usage while this host holds the lease and the configuration has organisations, for as long as
+/// the process lives. Does nothing if no reports are due.
+pub async fn report_usage<B, S: ObjectStore, C: ControlApi>(
+    host: Rc<Host<B>>,
+    lease: Rc<RoleLease>,
+    store: Rc<S>,
+    control_api: Rc<C>,
+) {
+    let Some(usage) = &host.usage else {
+        return;
+    };
+    let mut holder = Holder {
+        usage,
+        host: &host,
+        lease: &lease,
+        store: &*store,
+        control_api: &*control_api,
+        reporter: Reporter::default(),
+        next_call_ms: 0,
+        skipped: None,
+    };
+    loop {
+        // A timeout and a notification lead to the same next step.
+        let _ = timeout(STEP, usage.answered.notified()).await;
+        holder.step().await;
+    }
+}
+
+struct Holder<'a, B, S, C> {
+    usage: &'a HostUsage,
+    host: &'a Host<B>,
+    lease: &'a RoleLease,
+    store: &'a S,
+    control_api: &'a C,
+    reporter: Reporter,
+    next_call_ms: u64,
+    /// Last window that was skipped with a log line.
+    skipped: Option<u64>,
+}
+
+impl<B, S: ObjectStore, C: ControlApi> Holder<'_, B, S, C> {
+    /// Returns the authority at this moment.
+    fn term(&self) -> Option<Term> {
+        if !self.host.has_organisations() {
+            return None;
+        }
+        let authority = self.lease.authority()?;
+        Some(Term {
+            epoch: authority.epoch,
+            era: self.store.era(),
+        })
+    }
+
+    /// Checks the authority again, which must not be older than the step that follows.
+    fn refresh_term(&mut self) -> Option<Term> {
+        let term = self.term();
+        self.reporter.set_term(term);
+        let mut inquiry = self.usage.inquiry.borrow_mut();
+        if inquiry.as_ref().map(|inquiry| inquiry.term) != term {
+            let now_ms = self.host.clock.now_ms();
+            *inquiry = term.map(|term| Inquiry::new(term, now_ms));
+        }
+        term
+    }
+
+    async fn step(&mut self) {
+        let others = self.host.peers.ids();
+        let now_ms = self.host.clock.now_ms();
+        self.usage.update(others.len(), now_ms);
+        let term = self.refresh_term();
+        let pending = i64::try_from(self.reporter.pending()).unwrap_or(i64::MAX);
+        self.host.metrics.usage_pending.set(pending);
+        let (Some(term), Some(true_ms)) = (term, self.usage.true_ms(others.len(), now_ms)) else {
+            return;
+        };
+        self.collect(&others, now_ms, true_ms);
+        let next = self.reporter.next(now_ms);
+        match next {
+            Action::Call(_) if now_ms < self.next_call_ms => {}
+            Action::Wait => {}
+            Action::Read => self.read(term).await,
+            Action::Write { expected, value } => self.write(term, expected, value).await,
+            Action::Name { window } => self.name(&others, window, now_ms),
+            Action::Call(report) => self.call(term, report).await,
+        }
+        if let Some(inquiry) = &mut *self.usage.inquiry.borrow_mut() {
+            inquiry.advance(self.host.clock.now_ms());
+            if inquiry.is_due {
+                self.host.peer_updates.notify_one();
+            }
+        }
+    }
+
+    /// Asks for the windows that have ended, and composes their reports from the answers.
+    fn collect(&mut self, others: &[HostId], now_ms: u64, true_ms: u64) {
+        let mut inquiry = self.usage.inquiry.borrow_mut();
+        let Some(inquiry) = &mut *inquiry else {
+            return;
+        };
+        let window_ms = self.usage.timing.window_ms;
+        if !self.reporter.is_informed() {
+            if inquiry.is_complete(others, false, now_ms) {
+                let state = self.usage.state.borrow();
+                let own = state.remembered;
+                self.reporter.record_remembered(inquiry.remembered.max(own));
+                let oldest = state.tally.windows().next();
+                inquiry.oldest = [inquiry.oldest, oldest].into_iter().flatten().min();
+                inquiry.end();
+            }
+            return;
+        }
+        if inquiry.windows > 0 {
+            let last = inquiry.first + inquiry.windows - 1;
+            let is_late = true_ms >= (last + 1) * window_ms + COLLECT_LIMIT_MS;
+            if inquiry.is_complete(others, is_late, now_ms) {
+                let own = &self.usage.state.borrow().tally;
+                for window in inquiry.first..=last {
+                    inquiry.tally.merge_window(window, own);
+                    let counts = inquiry.tally.total(window);
+                    self.reporter.compose(Report { window, counts });
+                }
+                inquiry.end();
+            }
+            return;
+        }
+        // The last window that has ended and settled.
+        let ended = true_ms.saturating_sub(SETTLE_MS) / window_ms;
+        let Some(ended) = ended.checked_sub(1) else {
+            return;
+        };
+        let Some(next) = self.reporter.first_window(inquiry.oldest.unwrap_or(ended)) else {
+            return;
+        };
+        let oldest_kept = ended.saturating_sub(RETAINED_WINDOWS - 2);
+        let first = next.max(oldest_kept);
+        if first > next && self.skipped < Some(first - 1) {
+            self.skipped = Some(first - 1);
+            log_skipped(next, first - 1, "counts_gone");
+        }
+        if first <= ended {
+            let windows = (ended - first + 1).min(MAX_WINDOWS);
+            inquiry.ask(first, windows, now_ms);
+        }
+    }
+
+    async fn read(&mut self, term: Term) {
+        let read = self
+            .store
+            .read(Kind::Usage, REPORTS_NAME, Freshness::Latest)
+            .await;
+        if self.refresh_term() != Some(term) {
+            return;
+        }
+        let Ok(object) = read else {
+            return sleep(STORE_RETRY).await;
+        };
+        let object = object.filter(|object| !object.is_removed);
+        if object
+            .as_ref()
+            .is_some_and(|o| era_of(o.revision) != term.era)
+        {
+            return;
+        }
+        let revision = object.as_ref().map(|object| object.revision);
+        let reports = object.map(|object| decode(object.value));
+        // What cannot be decoded may name windows that were reported: nothing is composed then.
+        if reports == Some(None) {
+            log::write(Event::UsageUnreported, "cause=malformed_object");
+            return sleep(STORE_RETRY).await;
+        }
+        self.reporter.record_read(reports.flatten(), revision);
+    }
+
+    async fn write(&mut self, term: Term, expected: Option<u64>, reports: Reports) {
+        let Ok(value) = serde_json::to_value(&reports) else {
+            return;
+        };
+        if self.refresh_term() != Some(term) {
+            return;
+        }
+        let written = self
+            .store
+            .write(Kind::Usage, REPORTS_NAME, expected, &value)
+            .await;
+        if self.refresh_term() != Some(term) {
+            return;
+        }
+        let outcome = match written {
+            Ok(revision) if era_of(revision) == term.era => WriteOutcome::Written(revision),
+            _ => WriteOutcome::Unknown,
+        };
+        if let WriteOutcome::Written(revision) = outcome {
+            let fields = format!(
+                "highest={} pending={} revision={revision}",
+                reports.highest.unwrap_or(0),
+                reports.pending.len()
+            );
+            log::write(Event::UsageComposed, &fields);
+        }
+        self.reporter.record_write(reports, outcome);
+    }
+
+    fn name(&mut self, others: &[HostId], window: u64, now_ms: u64) {
+        let mut state = self.usage.state.borrow_mut();
+        state.remembered = state.remembered.max(Some(window));
+        if let Some(inquiry) = &mut *self.usage.inquiry.borrow_mut() {
+            inquiry.name(window, now_ms);
+            if inquiry.majority.is_told(others, &inquiry.named, now_ms) {
+                inquiry.naming = None;
+                self.reporter.record_named(window);
+            }
+        }
+    }
+
+    async fn call(&mut self, term: Term, report: Report) {
+        let holder = DutyHolder {
+            host: self.host.deployment.name.clone(),
+            fence: term.epoch,
+        };
+        let window = report.window;
+        if self.refresh_term() != Some(term) {
+            return;
+        }
+        self.reporter.begin_call(&report);
+        let calls_per_s = (self.host.deployment.duty_per_s * DUTY_SHARE).max(0.1);
+        self.next_call_ms = self.host.clock.now_ms() + (1_000.0 / calls_per_s) as u64;
+        let report = UsageReport {
+            window,
+            counts: report.counts,
+        };
+        let reply = self.control_api.report_usage(&holder, &report).await;
+        if self.refresh_term() != Some(term) {
+            return;
+        }
+        let outcome = outcome(&reply);
+        let now_ms = self.host.clock.now_ms();
+        self.reporter.record_call(window, outcome, now_ms);
+        let late_ms = self.late_ms(window, now_ms);
+        let fields = format!(
+            "window={window} fence={} organisations={} late_ms={late_ms} reply={reply:?}",
+            term.epoch,
+            report.counts.len()
+        );
+        if outcome == CallOutcome::Done {
+            self.host.metrics.usage_reported.inc();
+            if late_ms > 0 {
+                self.host.metrics.usage_late.inc();
+            }
+            log::write(Event::UsageReported, &fields);
+        } else {
+            log::write(Event::UsageUnreported, &fields);
+        }
+    }
+
+    /// Returns the time since the report of a window was due; 0 if it is not late.
+    fn late_ms(&self, window: u64, now_ms: u64) -> u64 {
+        let UsageTiming { window_ms, due_ms } = self.usage.timing;
+        let due_ms = (window + 1) * window_ms + due_ms;
+        let true_ms = self.usage.true_ms(self.host.peers.count(), now_ms);
+        true_ms.unwrap_or(0).saturating_sub(due_ms)
+    }
+}
+
+fn decode(value: Option<serde_json::Value>) -> Option<Reports> {
+    serde_json::from_value(value?).ok()
+}
+
+fn log_skipped(first: u64, last: u64, cause: &str) {
+    let fields = format!("first={first} last={last} cause={cause}");
+    log::write(Event::UsageSkipped, &fields);
+}
+
+fn outcome(reply: &Result<DutyReply, CallFault>) -> CallOutcome {
+    match reply {
+        Ok(DutyReply::Done) => CallOutcome::Done,
+        Ok(DutyReply::Conflict) => CallOutcome::Fenced,
+        Ok(DutyReply::Refused(408 | 429 | 500..)) | Err(_) => CallOutcome::Failed,
+        Ok(DutyReply::Refused(_)) => CallOutcome::Refused,
+    }
+}
--- a/src/usage_window.rs
+++ b/src/usage_window.rs
@@ -33,8 +33,9 @@
 /// Pause before a report is sent again that was refused for its content.
 const REFUSED_PAUSE_MS: u64 = 30_000;
 /// Time without an answer after which a host no longer counts for a majority. Hosts that are gone for
-/// good would otherwise end all reports once they are half of those listed.
-const SILENT_MS: u64 = 60_000;
+/// good would otherwise end all reports once they are half of those listed. It is longer than the time
+/// in which a successor takes the lease and asks.
+const SILENT_MS: u64 = 20_000;
 
 /// Number of requests by organisation.
 pub type Counts = IndexMap<String, u64>;
@@ -80,6 +81,15 @@
         }
     }
 
+    /// Merges all counts that `other` has of a window.
+    pub fn merge_window(&mut self, window: u64, other: &Self) {
+        for source in other.sources(window) {
+            let counts = other.counts(window, source).into_iter().flatten();
+            let entries: Vec<_> = counts.map(|(name, n)| (name.clone(), *n)).collect();
+            self.merge(window, source, &entries);
+        }
+    }
+
     fn entry(&mut self, window: u64, source: Source) -> &mut Counts {
         let sources = self.windows.entry(window).or_default();
         sources.entry(source).or_default()
