--- a/src/usage_window.rs
+++ b/src/usage_window.rs
@@ -449,6 +449,16 @@
         Some(done.map_or(first_counted, |done| done + 1))
     }
 
+    /// Returns the first and the last window that hosts name and the store does not know, because it was
+    /// restored. They are not composed again.
+    pub fn forgotten(&self) -> Option<(u64, u64)> {
+        let (reports, _) = self.stored.as_ref()?;
+        let composed = self.composed.keys().next_back().copied();
+        let known = reports.highest.max(composed)?;
+        let named = self.remembered??;
+        (named > known).then_some((known + 1, named))
+    }
+
     /// Fixes the content of a window, unless it must not be composed.
     pub fn compose(&mut self, report: Report) {
         let may = self.first_window(0).is_some_and(|w| report.window >= w);
--- a/tests/usage_window.rs
+++ b/tests/usage_window.rs
@@ -152,9 +152,14 @@
     let next_term = Some(Term { epoch: 2, era: 2 });
     let mut successor = Reporter::default();
     successor.set_term(next_term);
-    successor.record_read(None, None);
+    let copy = Reports {
+        highest: Some(3),
+        pending: Vec::new(),
+    };
+    successor.record_read(Some(copy), Some(1));
     successor.record_remembered(Some(5));
     assert_eq!(successor.first_window(5), Some(6));
+    assert_eq!(successor.forgotten(), Some((4, 5)));
     // The host that made the call still has the report.
     reporter.set_term(next_term);
     reporter.record_read(None, None);
