--- a/tests/usage_window.rs
+++ b/tests/usage_window.rs
@@ -499,11 +499,11 @@
                 self.post(4_000, InFlight::Named(from, term, to, window));
             }
             InFlight::Named(to, term, from, window)
-                if current(self, to, term) && !self.is_cut(to) =>
+                if current(self, to, term)
+                    && !self.is_cut(to)
+                    && self.nodes[to].naming == Some(window) =>
             {
-                if self.nodes[to].naming == Some(window) {
-                    self.nodes[to].named.insert(HostId(from as u64));
-                }
+                self.nodes[to].named.insert(HostId(from as u64));
             }
             InFlight::Ask(from, term, to) if self.is_up(to) && !self.is_cut(to) => {
                 let remembered = self.nodes[to].remembered;
