Need fewer engines: margins follow what bursts and boots take

Change: the whole need is the peak or 1.5 times the average, the need without a zone's spot engines follows the average, 4 s of low need and steps of a quarter give ordinary engines back; E436 logs demand and need.

--- a/crates/yucca-serve/src/scaling.rs
+++ b/crates/yucca-serve/src/scaling.rs
@@ -10,8 +10,8 @@
 use indexmap::IndexMap;
 use tokio::time::{Duration, sleep};
 use yucca_io::log;
-use yuccacove::engine_demand::{EngineCapacity, NeedHistory};
-use yuccacove::engine_scaling::{Change, EngineKind, KindState, Limits, Planner, ZoneState};
+use yuccacove::engine_demand::{DemandSample, EngineCapacity, Level, NeedHistory};
+use yuccacove::engine_scaling::{Change, EngineKind, KindState, Limits, Need, Planner, ZoneState};
 use yuccacove::event::Event;
 use yuccacove::fleet_rate::HostId;
 use yuccacove::lease::Authority;
@@ -38,6 +38,8 @@
 const BOOT_SLACK_MS: u64 = 3_000;
 /// Epoch of the first holder, which has no predecessor.
 const FIRST_EPOCH: u64 = 1;
+/// Shortest interval between two log lines on the need for the engines of a service.
+const NEED_LOG_INTERVAL_MS: u64 = 2_000;
 /// Price that is assumed for a zone without one.
 const DEFAULT_PRICE: f64 = 1.0;
 
@@ -96,6 +98,7 @@
     pause: Option<Pause>,
     /// Whether anything was ordered under this epoch.
     has_ordered: bool,
+    need_logged_ms: u64,
 }
 
 impl ServiceState {
@@ -107,6 +110,7 @@
             history: NeedHistory::default(),
             pause: None,
             has_ordered: false,
+            need_logged_ms: 0,
         }
     }
 }
@@ -273,6 +277,9 @@
     let Some(need) = need.filter(|_| pause.is_none()) else {
         return;
     };
+    if let Some(demand) = &demand {
+        log_need(state, service, demand, &need, now_ms);
+    }
     // Engines that the previous holder ordered may still be booting.
     let own_ms = authority.since_ms + host.deployment.lease_ms + limits.boot_ms + BOOT_SLACK_MS;
     let may_lower = state.history.is_settled(now_ms) && now_ms >= own_ms;
@@ -290,6 +297,31 @@
     }
 }
 
+/// Logs the demand and the need that follows from it, at most once in [`NEED_LOG_INTERVAL_MS`].
+fn log_need(
+    state: &mut ServiceState,
+    service: &ScaledService,
+    demand: &DemandSample,
+    need: &Need,
+    now_ms: u64,
+) {
+    if now_ms < state.need_logged_ms + NEED_LOG_INTERVAL_MS {
+        return;
+    }
+    state.need_logged_ms = now_ms;
+    let Level {
+        prefill_ms_per_s,
+        streams,
+        tokens_k,
+    } = demand.all;
+    let fields = format!(
+        "service={} prefill_ms_per_s={prefill_ms_per_s} streams={streams} tokens_k={tokens_k} \
+         whole={:.1} firm={:.1} urgent={:.1} reserve={:.1}",
+        service.name, need.whole, need.firm, need.urgent, need.reserve
+    );
+    log::write(Event::ScaleNeed, &fields);
+}
+
 /// Orders the number of ordinary engines that are there. The call shows the platform this epoch, so
 /// that it refuses calls of an earlier holder that arrive late.
 fn affirm(state: &mut ServiceState, zones: &[ZoneState]) {
--- a/src/engine_demand.rs
+++ b/src/engine_demand.rs
@@ -25,8 +25,9 @@
 
 /// Target fraction of time that a prefill engine is busy.
 const PREFILL_UTILISATION: f64 = 0.8;
-/// Target fraction of a decode engine's slots, or of its KV cache, in use.
-const DECODE_UTILISATION: f64 = 0.5;
+/// Target fraction of a decode engine's slots, or of its KV cache, in use. Generations that still wait
+/// for their prefill count as well, so that the true fraction is lower.
+const DECODE_UTILISATION: f64 = 0.75;
 /// Time for which a peak counts in full. It is longer than the usual time between two bursts, so that
 /// the engines for a burst are not given back before the next one.
 const PEAK_MS: u64 = 60_000;
@@ -36,11 +37,9 @@
 const PEAK_HALF_LIFE_MS: f64 = 20_000.0;
 /// Time constant of the average demand.
 const AVERAGE_MS: f64 = 20_000.0;
-/// Margin over the highest demand seen.
-const PEAK_HEADROOM: f64 = 1.2;
-/// Bursts of two to three times the load come often, and the first one must find the engines there.
-/// The target utilisations leave the rest of the room.
-const BURST_FACTOR: f64 = 2.5;
+/// Margin over the average demand for the first bursts. Later ones are known by their peak, and the
+/// target utilisations leave the rest of the room.
+const BURST_FACTOR: f64 = 1.5;
 /// The same for the most urgent kinds while the spot engines of a zone are missing, for about ten
 /// seconds, in which a burst is less likely.
 const URGENT_BURST_FACTOR: f64 = 2.0;
@@ -348,10 +347,12 @@
         self.all.observe(engines, elapsed_ms);
         self.urgent_all.observe(urgent, elapsed_ms);
         let (average, urgent_average) = (self.all.value, self.urgent_all.value);
-        let whole = (engines * PEAK_HEADROOM).max(average * BURST_FACTOR);
+        let whole = engines.max(average * BURST_FACTOR);
         self.whole.observe(whole + SPLIT_LOSS, now_ms);
-        let firm = engines.max(average * FIRM_FACTOR);
-        self.firm.observe(firm + SPLIT_LOSS, now_ms);
+        // Ordinary engines boot about as long as a burst lasts, so that they only replace missing spot
+        // engines for the average demand.
+        self.firm
+            .observe(average * FIRM_FACTOR + SPLIT_LOSS, now_ms);
         let urgent = urgent.max(urgent_average * URGENT_BURST_FACTOR);
         self.urgent.observe(urgent, now_ms);
         self.reserve.observe(urgent_average, now_ms);
--- a/src/engine_scaling.rs
+++ b/src/engine_scaling.rs
@@ -18,9 +18,9 @@
 //! assert_eq!(numbers.iter().map(|n| n.spot).sum::<u32>(), 10);
 //! ```
 
-/// Time in which ordinary engines must not have been needed before they are given back. It is longer
-/// than the interval between two reclaims of spot engines that usually follow each other.
-const LOW_MS: u64 = 8_000;
+/// Time in which ordinary engines must not have been needed before they are given back. The need follows
+/// the peak of the last minute, so that a shorter pause between two bursts does not count.
+const LOW_MS: u64 = 4_000;
 /// The same for spot engines, which cost little.
 const LOW_SPOT_MS: u64 = 30_000;
 /// Time without the spot engines that the headroom for bursts needs after which ordinary engines
@@ -30,7 +30,7 @@
 const STEP_MS: u64 = 3_000;
 /// Largest share of the engines that serve that one step gives back, because each of them loses its
 /// cached prefixes.
-const STEP_SHARE: f64 = 0.15;
+const STEP_SHARE: f64 = 0.25;
 /// Margin over the need to which engines are ordered, and down to which they are given back. Without
 /// it a need that changes a little would lead to an order each time.
 const BAND: f64 = 1.15;
--- a/src/event.rs
+++ b/src/event.rs
@@ -86,6 +86,7 @@
     ScaleStopped = 433, "scale_stopped", "No more engines are ordered under this lease, because the platform seems to have seen a higher fencing token.";
     ScalePaused = 434, "scale_paused", "Whether engines are ordered at present, and if not, why.";
     SpotLost = 435, "spot_lost", "The spot engines of an availability zone are taken back.";
+    ScaleNeed = 436, "scale_need", "The demand for a service and the number of engines that it needs, every few seconds on the host that orders engines.";
     PeerJoined = 501, "peer_joined", "A peer answers.";
     PeerLost = 502, "peer_lost", "A peer no longer answers.";
     Isolated = 503, "isolated", "The host reaches neither the object API nor a peer.";
