--- a/crates/yucca-serve/src/choose.rs
+++ b/crates/yucca-serve/src/choose.rs
@@ -55,6 +55,16 @@
     pub prefix_source: Option<BackendKey>,
 }
 
+impl EngineChoice {
+    /// Returns the prefill time that a prefill engine would need, in milliseconds.
+    pub fn prefill_engine_ms(&self) -> f64 {
+        match self.prefill {
+            Some(_) => self.prefill_ms,
+            None => self.prefill_ms * prompt_placement::DECODE_PREFILL_SHARE,
+        }
+    }
+}
+
 /// Returns the hash and the length in tokens of each prefix of a prompt, the shortest first. A
 /// prefix consists of one or more leading parts.
 pub fn prefixes(prompt: &Prompt) -> Vec<(u64, u32)> {
--- a/crates/yucca-serve/src/connections.rs
+++ b/crates/yucca-serve/src/connections.rs
@@ -21,7 +21,7 @@
 use crate::memory::{Memory, MemoryGuard};
 
 /// Memory of an open connection: its state and hyper's read buffer.
-const CONNECTION_BYTES: usize = 24 * 1_024;
+const RESERVED_CONNECTION_BYTES: usize = 24 * 1_024;
 /// Memory of a request in progress beside its body: its state, and its connection to a backend.
 const REQUEST_BYTES: usize = 32 * 1_024;
 /// Number of times that a reservation is tried again after a connection was told to close.
@@ -131,7 +131,7 @@
             let mut memory = self.shared.memory.guard(Purpose::Connection);
             let shortage = if !self.shared.budget.borrow().has_room(1) {
                 Shortage::Descriptors
-            } else if !memory.grow(CONNECTION_BYTES) {
+            } else if !memory.grow(RESERVED_CONNECTION_BYTES) {
                 Shortage::ConnectionMemory
             } else {
                 return Some(self.add(memory));
@@ -249,7 +249,7 @@
             } else if !self
                 .memory
                 .borrow_mut()
-                .resize(CONNECTION_BYTES + REQUEST_BYTES)
+                .resize(RESERVED_CONNECTION_BYTES + REQUEST_BYTES)
             {
                 Shortage::ConnectionMemory
             } else {
@@ -267,12 +267,12 @@
     /// Ends a request.
     pub fn end_request(&self) {
         // A smaller size is always granted.
-        let _ = self.memory.borrow_mut().resize(CONNECTION_BYTES);
+        let _ = self.memory.borrow_mut().resize(RESERVED_CONNECTION_BYTES);
         self.set_held(0);
         self.set_phase(Phase::Idle);
     }
 
-    /// Whether a request is in progress, in part or completely received.
+    /// Whether the body of a request is arriving.
     pub fn is_receiving_body(&self) -> bool {
         self.connections.shared.budget.borrow().phase(self.key) == Some(Phase::Body)
     }
--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -176,7 +176,7 @@
     fn is_taken_back(&self, now_ms: u64) -> bool {
         match (self.registration, self.entry.leaves_ms) {
             (Registration::Leaving { since_ms }, Some(leaves_ms)) => {
-                self.entry.is_draining && now_ms < since_ms + leaves_ms
+                self.entry.is_draining && now_ms < since_ms.saturating_add(leaves_ms)
             }
             _ => false,
         }
--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -164,6 +164,8 @@
         for object in latest {
             match store.config(object) {
                 Ok(config) => host.update_config(config, object),
+                // The store has accepted it, but it must change nothing here: the active one stays in
+                // force, and counts as recent.
                 Err(fault) => log::write(
                     Event::CatalogueInvalid,
                     &format!("name={} cause={fault}", object.name),
@@ -375,8 +377,8 @@
 }
 
 impl Proofs<'_> {
-    /// Records the result of a call that began at `started_ms`. A watch that ended without changes waited
-    /// for `wait_ms` before, unless it ended early.
+    /// Records the result of a call that began at `started_ms`. The store ends a watch without changes
+    /// only when its wait of `wait_ms` is over; one that is cut off fails.
     fn record(&self, started_ms: u64, wait_ms: Option<u64>, objects: &Objects) {
         let waited_ms = match wait_ms {
             Some(wait_ms) if objects.objects.is_empty() => {
--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -212,6 +212,11 @@
         }
     }
 
+    /// Returns the id of this host in messages to other hosts.
+    pub fn id(&self) -> HostId {
+        HostId(hash_of(&self.deployment.name))
+    }
+
     /// Returns the milliseconds since the host was created, on the monotonic clock.
     pub fn now_ms(&self) -> u64 {
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
--- a/crates/yucca-serve/src/loads.rs
+++ b/crates/yucca-serve/src/loads.rs
@@ -13,9 +13,11 @@
 /// Maximum number of cached prefixes that are tracked for one engine.
 const MAX_CACHED_PREFIXES: usize = 512;
 
+/// Largest difference of equal works, which are announced in units of 0.1 ms.
+const SAME_WORK_MS: f64 = 0.06;
 /// Time by which the end of another host's prefill is known later than it happened. A queue is
 /// assumed to go on for that time after the forecast end of its first prefill.
-const NEWS_DELAY_MS: f64 = 25.0;
+const END_ANNOUNCEMENT_DELAY_MS: f64 = 25.0;
 /// Mean time from a prefill of another host until its announcement is applied. What is announced within
 /// this time after a prefill of this host was sent is ahead of it.
 const ANNOUNCEMENT_MS: u64 = 10;
@@ -161,7 +163,7 @@
             left_ms += prefill_ms;
         }
         let done_ms = (now_ms - self.head_since_ms).max(0.0);
-        let max_done_ms = head_ms.unwrap_or(0.0) + self.latency_ms + NEWS_DELAY_MS;
+        let max_done_ms = head_ms.unwrap_or(0.0) + self.latency_ms + END_ANNOUNCEMENT_DELAY_MS;
         (left_ms - done_ms.min(max_done_ms)).max(0.0)
     }
 
@@ -215,7 +217,7 @@
         now_ms: u64,
     ) -> f64 {
         self.expire_prefills(now_ms);
-        let is_same_work = |p: &OutstandingPrefill| (p.work_ms - work_ms).abs() < 0.06;
+        let is_same_work = |p: &OutstandingPrefill| (p.work_ms - work_ms).abs() < SAME_WORK_MS;
         let is_ended = |p: &OutstandingPrefill| match source {
             PrefillSource::Own(_) => p.source == source,
             PrefillSource::Told(_) | PrefillSource::Untold => p.source == source && is_same_work(p),
@@ -235,7 +237,9 @@
         if is_head_ended {
             let delay_ms = match source {
                 PrefillSource::Own(_) => self.latency_ms,
-                PrefillSource::Told(_) | PrefillSource::Untold => self.latency_ms + NEWS_DELAY_MS,
+                PrefillSource::Told(_) | PrefillSource::Untold => {
+                    self.latency_ms + END_ANNOUNCEMENT_DELAY_MS
+                }
             };
             self.begin_next(now_ms as f64 - delay_ms);
         }
--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -446,7 +446,7 @@
     if rates.is_empty() {
         return Vec::new();
     }
-    let sender = HostId(hash_of(&host.deployment.name));
+    let sender = host.id();
     let hosts = host.peers.hosts.borrow();
     let all: Vec<SocketAddr> = hosts.values().map(|peer| peer.address).collect();
     let mut updates = Vec::new();
@@ -481,7 +481,7 @@
     let mut messages: Vec<_> = answers
         .filter_map(|(id, answer)| Some((vec![address_of(id)?], Datagram::RecencyAnswer(answer))))
         .collect();
-    let sender = HostId(hash_of(&host.deployment.name));
+    let sender = host.id();
     if let Some(question) = recency.next_question(sender, &host.clock) {
         let relays = host.relay.fresh_relays().into_iter();
         let mut to: Vec<_> = relays.filter_map(|rank| address_of(HostId(rank))).collect();
@@ -613,9 +613,11 @@
     if let Some(progress_bytes) = progress_bytes {
         if bytes.len() + progress_bytes.len() > MAX_DATAGRAM_BYTES {
             let empty = Datagram::Load(update(Vec::new(), Vec::new(), Vec::new()));
-            let mut own = encode(&empty).unwrap_or_default();
-            own.extend(progress_bytes);
-            datagrams.push(own);
+            // Progress without the update before it would be read as something else.
+            if let Some(mut own) = encode(&empty) {
+                own.extend(progress_bytes);
+                datagrams.push(own);
+            }
             bytes.extend(encode(&EngineProgress::default()).unwrap_or_default());
         } else {
             bytes.extend(progress_bytes);
@@ -720,7 +722,7 @@
             }
         }
         Ok((Datagram::DemandQuestion(question), _)) => {
-            let own = HostId(hash_of(&host.deployment.name));
+            let own = host.id();
             let now_ms = host.clock.now_ms();
             host.service_demand.receive_question(question, own, now_ms);
             host.peer_updates.notify_one();
--- a/crates/yucca-serve/src/prefill.rs
+++ b/crates/yucca-serve/src/prefill.rs
@@ -103,7 +103,7 @@
     named_limits::record_request(host, key);
     let target = host.target(key);
     let started_ms = host.now_ms();
-    let prefill = OutstandingPrefill::begin(context, key, choice);
+    let prefill = PrefillGuard::begin(context, key, choice);
     let pending_ms = prefill.pending_ms;
     log::write(
         Event::Routed,
@@ -173,7 +173,7 @@
 
 /// A prefill that an engine was given. Dropping it removes it from the engine's load and announces
 /// that it has ended.
-pub struct OutstandingPrefill<B> {
+pub struct PrefillGuard<B> {
     host: Rc<Host<B>>,
     key: BackendKey,
     source: PrefillSource,
@@ -189,7 +189,7 @@
     is_completed: bool,
 }
 
-impl<B: Backends> OutstandingPrefill<B> {
+impl<B: Backends> PrefillGuard<B> {
     /// Adds the prefill of the prompt to the engine's load and announces it to the other hosts.
     pub fn begin(context: &RequestContext<B>, key: BackendKey, choice: &EngineChoice) -> Self {
         let host = &context.host;
@@ -242,7 +242,7 @@
     }
 }
 
-impl<B> Drop for OutstandingPrefill<B> {
+impl<B> Drop for PrefillGuard<B> {
     fn drop(&mut self) {
         let now_ms = self.host.now_ms();
         let mut directory = self.host.directory.borrow_mut();
--- a/crates/yucca-serve/src/scaling.rs
+++ b/crates/yucca-serve/src/scaling.rs
@@ -19,7 +19,6 @@
 
 use crate::config::{EngineSpec, ScalingSpec};
 use crate::directory::BackendKey;
-use crate::hash::hash_of;
 use crate::host::Host;
 use crate::metrics::ByEngineKind;
 use crate::ports::{Backends, CallFault, ControlApi, DutyHolder, DutyReply, ScaleOrder};
@@ -177,6 +176,12 @@
             epoch: authority.epoch,
             services: IndexMap::new(),
         }));
+        // A service may have lost its limits since the last step.
+        let is_scaled = |name: &String| services.iter().any(|s| s.name == *name);
+        state.services.retain(|name, _| is_scaled(name));
+        host.pending_engines
+            .borrow_mut()
+            .retain(|name, _| is_scaled(name));
         collect_demand(&host, services.len());
         let is_ready =
             may_order(&host, &lease, &authority) && now_ms >= steady_since_ms + STEADY_MS;
@@ -218,15 +223,11 @@
     scaled.collect()
 }
 
-fn own_id<B>(host: &Host<B>) -> HostId {
-    HostId(hash_of(&host.deployment.name))
-}
-
 fn collect_demand<B>(host: &Host<B>, services: usize) {
     let peers = host.peers.ids();
     let clock_ms = host.clock.now_ms();
     host.service_demand
-        .collect(own_id(host), &peers, services, clock_ms);
+        .collect(host.id(), &peers, services, clock_ms);
     host.peer_updates.notify_one();
 }
 
@@ -254,7 +255,7 @@
         let fields = format!("service={} zone={}", service.name, state.zones[zone]);
         log::write(Event::SpotLost, &fields);
     }
-    let hosts: Vec<HostId> = host.peers.ids().into_iter().chain([own_id(host)]).collect();
+    let hosts: Vec<HostId> = host.peers.ids().into_iter().chain([host.id()]).collect();
     let clock_ms = host.clock.now_ms();
     let demand = host
         .service_demand
@@ -281,7 +282,8 @@
         log_need(state, service, demand, &need, now_ms);
     }
     // Engines that the previous holder ordered may still be booting.
-    let own_ms = authority.since_ms + host.deployment.lease_ms + limits.boot_ms + BOOT_SLACK_MS;
+    let own_ms = (authority.since_ms + host.deployment.lease_ms + BOOT_SLACK_MS)
+        .saturating_add(limits.boot_ms);
     let may_lower = state.history.is_settled(now_ms) && now_ms >= own_ms;
     let changes = state
         .planner
@@ -341,8 +343,8 @@
 }
 
 fn set_order(state: &mut ServiceState, change: Change) {
-    let lane = state.orders.lane(change.zone, change.kind);
-    state.orders.set(lane, change.engines, change.is_raise);
+    let order = state.orders.order(change.zone, change.kind);
+    state.orders.set(order, change.engines, change.is_raise);
 }
 
 /// Returns the zones in which engines can be ordered or are listed.
@@ -371,9 +373,9 @@
     let states = zones.iter().enumerate().map(|(zone, name)| {
         let price = service.spec.zone_prices.get(name);
         let mut kind = |kind: EngineKind| {
-            let lane = state.orders.lane(zone, kind);
+            let order = state.orders.order(zone, kind);
             KindState {
-                ordered: state.orders.ordered(lane, now_ms),
+                ordered: state.orders.ordered(order, now_ms),
                 ..listed(host, &service.name, name, kind)
             }
         };
@@ -425,9 +427,9 @@
             (EngineKind::Spot, &zone.spot),
         ] {
             // An order that does not reach the platform must not delay changes of phase for long.
-            let lane = state.orders.lane(at, kind);
+            let order = state.orders.order(at, kind);
             let sent = KindState {
-                ordered: state.orders.in_effect(lane),
+                ordered: state.orders.in_effect(order),
                 ..*engines
             };
             pending.booting += sent.booting(limits, now_ms);
@@ -502,7 +504,7 @@
 }
 
 fn order_of(service: &str, state: &ServiceState, call: Call) -> ScaleOrder {
-    let (zone, kind) = state.orders.target(call.lane);
+    let (zone, kind) = state.orders.target(call.order);
     ScaleOrder {
         service: service.to_owned(),
         zone: state.zones[zone].clone(),
@@ -528,7 +530,7 @@
         }
         Err(CallFault::Broken(_) | CallFault::TimedOut | CallFault::Invalid(_)) => Outcome::Unknown,
     };
-    let (zone, kind) = state.orders.target(call.lane);
+    let (zone, kind) = state.orders.target(call.order);
     let verdict = state.orders.record(call, outcome, sent_ms);
     if outcome == Outcome::Done {
         log::write(Event::ScaleOrdered, &fields(order, epoch));
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -30,7 +30,7 @@
 use crate::named_limits;
 use crate::plain::MAX_BUFFERED_BYTES;
 use crate::ports::{BackendResponse, Backends, CallFault, ResponseBody};
-use crate::prefill::{KvCacheGuard, OutstandingPrefill, prefill_if_remote, prefix_source_address};
+use crate::prefill::{KvCacheGuard, PrefillGuard, prefill_if_remote, prefix_source_address};
 use crate::reply::{Interrupted, Reply, ReplyData};
 use crate::serve::{Progress, RequestContext, RunState, Stage};
 
@@ -125,7 +125,7 @@
         let Some(choice) = choose_engines(context) else {
             return Err(Box::new(context.refuse_unplaced()));
         };
-        context.count_demand(choice.prefill_ms);
+        context.count_demand(choice.prefill_engine_ms());
         let ask = ask(context, &overload, &choice, held.as_ref());
         let decision = if is_admitted {
             Decision::Admit
@@ -135,6 +135,8 @@
         match decision {
             Decision::Admit => {
                 is_admitted = true;
+                // It must not stand before others while it waits for a grant.
+                held = None;
                 if context
                     .ensure_grant(choice.prefill.unwrap_or(choice.decode))
                     .await
@@ -376,7 +378,7 @@
         None
     } else {
         call.prefix_source = prefix_source_address(context, choice);
-        Some(OutstandingPrefill::begin(context, key, choice))
+        Some(PrefillGuard::begin(context, key, choice))
     };
     let pending_ms = prefill.as_ref().map_or(0.0, |prefill| prefill.pending_ms);
     log::write(
--- a/crates/yucca-serve/src/usage/holder.rs
+++ b/crates/yucca-serve/src/usage/holder.rs
@@ -189,8 +189,13 @@
         if self.refresh_term() != Some(term) {
             return;
         }
-        let Ok(object) = read else {
-            return sleep(STORE_RETRY).await;
+        let object = match read {
+            Ok(object) => object,
+            Err(fault) => {
+                let fields = format!("cause=store_read fault={fault:?}");
+                log::write(Event::UsageUnreported, &fields);
+                return sleep(STORE_RETRY).await;
+            }
         };
         let object = object.filter(|object| !object.is_removed);
         if object
@@ -210,8 +215,15 @@
     }
 
     async fn write(&mut self, term: Term, expected: Option<u64>, reports: Reports) {
-        let Ok(value) = serde_json::to_value(&reports) else {
-            return;
+        let value = match serde_json::to_value(&reports) {
+            Ok(value) => value,
+            Err(fault) => {
+                log::write(
+                    Event::UsageUnreported,
+                    &format!("cause=encode fault={fault}"),
+                );
+                return sleep(STORE_RETRY).await;
+            }
         };
         if self.refresh_term() != Some(term) {
             return;
@@ -225,7 +237,12 @@
         }
         let outcome = match written {
             Ok(revision) if era_of(revision) == term.era => WriteOutcome::Written(revision),
-            _ => WriteOutcome::Unknown,
+            Ok(_) => WriteOutcome::Unknown,
+            Err(fault) => {
+                let fields = format!("cause=store_write fault={fault:?}");
+                log::write(Event::UsageUnreported, &fields);
+                WriteOutcome::Unknown
+            }
         };
         if let WriteOutcome::Written(revision) = outcome {
             let fields = format!(
--- a/src/connection_budget.rs
+++ b/src/connection_budget.rs
@@ -28,7 +28,7 @@
 /// caller could hold a body for days with them.
 const BODY_STEP_BYTES: usize = 1_024;
 /// Memory that each connection holds, beside its body and its response, for comparisons.
-const CONNECTION_BYTES: usize = 16 * 1_024;
+const COMPARED_CONNECTION_BYTES: usize = 16 * 1_024;
 
 /// Identifies an open connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -156,7 +156,7 @@
                 Some((is_unused, stalled_ms))
             }
             Shortage::BodyMemory if is_stalled && self.has_content() => {
-                let bytes = (CONNECTION_BYTES + self.held_bytes) as u64;
+                let bytes = (COMPARED_CONNECTION_BYTES + self.held_bytes) as u64;
                 Some((true, bytes.saturating_mul(stalled_ms)))
             }
             _ => None,
--- a/src/engine_scaling.rs
+++ b/src/engine_scaling.rs
@@ -155,7 +155,7 @@
     need: &Need,
     replaces_headroom: bool,
 ) -> Vec<Numbers> {
-    let room = limits.max * zones.len() as u32;
+    let room = limits.max.saturating_mul(zones.len() as u32);
     let highest = need.whole.max(need.urgent).max(need.firm);
     let from = ceil(need.reserve).min(room);
     let to = ceil(highest).clamp(from, room.max(from));
@@ -316,7 +316,8 @@
     fn expected(&self, limits: &Limits, now_ms: u64) -> u32 {
         match self.ordered {
             Some((ordered, at_ms)) if ordered > self.serving => {
-                let is_booting = now_ms < at_ms + limits.boot_ms + BOOT_SLACK_MS;
+                let boot_ms = limits.boot_ms.saturating_add(BOOT_SLACK_MS);
+                let is_booting = now_ms < at_ms.saturating_add(boot_ms);
                 if is_booting { ordered } else { self.serving }
             }
             Some((ordered, at_ms)) if now_ms < at_ms + LEAVE_MS => ordered,
--- a/src/prompt_placement.rs
+++ b/src/prompt_placement.rs
@@ -26,7 +26,7 @@
 /// Attention time for a million pairs of tokens, in ms.
 const ATTENTION_MS_PER_MEGAPAIR: f64 = 0.65;
 /// Prefill speed of a decode engine as a fraction of that of a prefill engine.
-const DECODE_PREFILL_SHARE: f64 = 0.5;
+pub const DECODE_PREFILL_SHARE: f64 = 0.5;
 /// Duration of a decode step with few requests in the batch.
 const STEP_MS: f64 = 4.5;
 /// Added to the step duration for each stream; spreads the streams over the engines.
--- a/src/scale_orders.rs
+++ b/src/scale_orders.rs
@@ -9,8 +9,8 @@
 //! use yuccacove::scale_orders::{Outcome, ScaleOrders};
 //!
 //! let mut orders = ScaleOrders::default();
-//! let lane = orders.lane(0, EngineKind::Spot);
-//! orders.set(lane, 5, true);
+//! let order = orders.order(0, EngineKind::Spot);
+//! orders.set(order, 5, true);
 //! let call = orders.next(0).expect("a call");
 //! orders.record(call, Outcome::Unknown, 0);
 //! assert!(orders.next(0).is_none());
@@ -31,13 +31,13 @@
 
 /// Index of an order in [`ScaleOrders`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LaneKey(usize);
+pub struct OrderKey(usize);
 
 /// A call to make.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Call {
     /// Order that it carries out.
-    pub lane: LaneKey,
+    pub order: OrderKey,
     /// Number of engines.
     pub engines: u32,
 }
@@ -68,7 +68,7 @@
 
 /// Calls for one kind of engines in one zone.
 #[derive(Debug, Clone)]
-struct Lane {
+struct PoolOrder {
     zone: usize,
     kind: EngineKind,
     wanted: u32,
@@ -80,14 +80,14 @@
     in_effect: Option<(u32, u64)>,
     /// Calls without a reply, with the time until which they may be carried out.
     unsettled: Vec<(u32, u64)>,
-    /// Time at which the number is to be said again.
+    /// Time at which the number is sent again.
     repeat_ms: Option<u64>,
 }
 
 /// The orders of a holder for one service under one epoch.
 #[derive(Debug, Default, Clone)]
 pub struct ScaleOrders {
-    lanes: Vec<Lane>,
+    pool_orders: Vec<PoolOrder>,
     /// Conflicts since the last call that was carried out.
     ordinary_conflicts: u32,
     spot_conflicts: u32,
@@ -96,13 +96,13 @@
 
 impl ScaleOrders {
     /// Returns the order for one kind of engines in a zone.
-    pub fn lane(&mut self, zone: usize, kind: EngineKind) -> LaneKey {
+    pub fn order(&mut self, zone: usize, kind: EngineKind) -> OrderKey {
         let known = self
-            .lanes
+            .pool_orders
             .iter()
-            .position(|lane| lane.zone == zone && lane.kind == kind);
-        LaneKey(known.unwrap_or_else(|| {
-            self.lanes.push(Lane {
+            .position(|order| order.zone == zone && order.kind == kind);
+        OrderKey(known.unwrap_or_else(|| {
+            self.pool_orders.push(PoolOrder {
                 zone,
                 kind,
                 wanted: 0,
@@ -114,41 +114,41 @@
                 unsettled: Vec::new(),
                 repeat_ms: None,
             });
-            self.lanes.len() - 1
+            self.pool_orders.len() - 1
         }))
     }
 
     /// Returns the zone and the kind of engines of an order.
-    pub fn target(&self, lane: LaneKey) -> (usize, EngineKind) {
-        let lane = &self.lanes[lane.0];
-        (lane.zone, lane.kind)
+    pub fn target(&self, order: OrderKey) -> (usize, EngineKind) {
+        let order = &self.pool_orders[order.0];
+        (order.zone, order.kind)
     }
 
     /// Sets the number to order.
-    pub fn set(&mut self, lane: LaneKey, engines: u32, is_raise: bool) {
-        let lane = &mut self.lanes[lane.0];
-        if lane.is_due && lane.wanted == engines {
+    pub fn set(&mut self, order: OrderKey, engines: u32, is_raise: bool) {
+        let order = &mut self.pool_orders[order.0];
+        if order.is_due && order.wanted == engines {
             return;
         }
-        lane.wanted = engines;
-        lane.is_raise = is_raise;
-        lane.is_due = true;
-        lane.failures = 0;
+        order.wanted = engines;
+        order.is_raise = is_raise;
+        order.is_due = true;
+        order.failures = 0;
     }
 
     /// Returns the number that was ordered last, or is being ordered, with the time since which it may
     /// be in effect.
-    pub fn ordered(&self, lane: LaneKey, now_ms: u64) -> Option<(u32, u64)> {
-        let lane = &self.lanes[lane.0];
-        if lane.is_due {
-            return Some((lane.wanted, now_ms));
+    pub fn ordered(&self, order: OrderKey, now_ms: u64) -> Option<(u32, u64)> {
+        let order = &self.pool_orders[order.0];
+        if order.is_due {
+            return Some((order.wanted, now_ms));
         }
-        lane.in_effect
+        order.in_effect
     }
 
     /// Returns the number that was or may have been carried out last, and when it was sent.
-    pub fn in_effect(&self, lane: LaneKey) -> Option<(u32, u64)> {
-        self.lanes[lane.0].in_effect
+    pub fn in_effect(&self, order: OrderKey) -> Option<(u32, u64)> {
+        self.pool_orders[order.0].in_effect
     }
 
     /// Whether calls under this epoch have ended.
@@ -161,18 +161,18 @@
         if self.is_stopped {
             return None;
         }
-        for lane in &mut self.lanes {
-            if lane.repeat_ms.is_some_and(|repeat_ms| now_ms >= repeat_ms) {
-                lane.repeat_ms = None;
-                lane.is_due = true;
+        for order in &mut self.pool_orders {
+            if order.repeat_ms.is_some_and(|repeat_ms| now_ms >= repeat_ms) {
+                order.repeat_ms = None;
+                order.is_due = true;
             }
         }
-        let due = self.lanes.iter().enumerate();
-        let due = due.filter(|(_, lane)| lane.is_due && now_ms >= lane.not_before_ms);
-        let (at, lane) = due.min_by_key(|(_, lane)| !lane.is_raise)?;
+        let due = self.pool_orders.iter().enumerate();
+        let due = due.filter(|(_, order)| order.is_due && now_ms >= order.not_before_ms);
+        let (at, order) = due.min_by_key(|(_, order)| !order.is_raise)?;
         Some(Call {
-            lane: LaneKey(at),
-            engines: lane.wanted,
+            order: OrderKey(at),
+            engines: order.wanted,
         })
     }
 
@@ -182,31 +182,31 @@
             Outcome::Done => {
                 self.ordinary_conflicts = 0;
                 self.spot_conflicts = 0;
-                self.lanes[call.lane.0].record_done(call.engines, sent_ms);
+                self.pool_orders[call.order.0].record_done(call.engines, sent_ms);
                 Verdict::None
             }
             Outcome::Conflict => self.record_conflict(call, sent_ms),
             Outcome::Refused => {
-                self.lanes[call.lane.0].retry_later(sent_ms);
+                self.pool_orders[call.order.0].retry_later(sent_ms);
                 Verdict::None
             }
             Outcome::Unknown => {
-                self.lanes[call.lane.0].record_unknown(call.engines, sent_ms);
+                self.pool_orders[call.order.0].record_unknown(call.engines, sent_ms);
                 Verdict::None
             }
         }
     }
 
     fn record_conflict(&mut self, call: Call, sent_ms: u64) -> Verdict {
-        let lane = &mut self.lanes[call.lane.0];
-        match lane.kind {
+        let order = &mut self.pool_orders[call.order.0];
+        match order.kind {
             EngineKind::Ordinary => {
                 self.ordinary_conflicts += 1;
-                lane.retry_later(sent_ms);
+                order.retry_later(sent_ms);
             }
             EngineKind::Spot => {
                 self.spot_conflicts += 1;
-                lane.is_due = false;
+                order.is_due = false;
             }
         }
         let is_fenced = self.ordinary_conflicts >= MAX_ORDINARY_CONFLICTS
@@ -215,14 +215,14 @@
             self.is_stopped = true;
             return Verdict::Stopped;
         }
-        match self.lanes[call.lane.0].kind {
+        match self.pool_orders[call.order.0].kind {
             EngineKind::Ordinary => Verdict::None,
             EngineKind::Spot => Verdict::NoSpot,
         }
     }
 }
 
-impl Lane {
+impl PoolOrder {
     fn record_done(&mut self, engines: u32, sent_ms: u64) {
         self.is_due = self.wanted != engines;
         self.failures = 0;
--- a/src/usage_window.rs
+++ b/src/usage_window.rs
@@ -183,6 +183,7 @@
     /// a successor hears then has one of them, also if this host has restarted and forgotten.
     pub fn is_told(&self, others: &[HostId], told: &IndexSet<HostId>, now_ms: u64) -> bool {
         let (reached, hosts) = self.reached(others, told, now_ms);
+        // With two hosts the other one suffices, as there is no more.
         reached > (hosts / 2).min(hosts.saturating_sub(2)) || hosts == 1
     }
 
--- a/tests/scale_orders.rs
+++ b/tests/scale_orders.rs
@@ -7,8 +7,8 @@
 #[test]
 fn next_repeats_until_acknowledged() {
     let mut orders = ScaleOrders::default();
-    let lane = orders.lane(0, Ordinary);
-    orders.set(lane, 6, true);
+    let order = orders.order(0, Ordinary);
+    orders.set(order, 6, true);
     let mut calls = 0;
     for now_ms in (0..20_000).step_by(100) {
         if let Some(call) = orders.next(now_ms) {
@@ -25,11 +25,11 @@
 #[test]
 fn next_says_number_again_after_late_effect() {
     let mut orders = ScaleOrders::default();
-    let lane = orders.lane(0, Ordinary);
-    orders.set(lane, 6, false);
+    let order = orders.order(0, Ordinary);
+    orders.set(order, 6, false);
     let lost = orders.next(0).expect("a call");
     orders.record(lost, Outcome::Unknown, 0);
-    orders.set(lane, 9, true);
+    orders.set(order, 9, true);
     let newer = orders.next(1_500).expect("a call");
     assert_eq!(newer.engines, 9);
     orders.record(newer, Outcome::Done, 1_500);
@@ -55,8 +55,8 @@
         let mut orders = ScaleOrders::default();
         let mut verdict = Verdict::None;
         for (kind, sent_ms) in kinds.iter().zip((0..).step_by(10_000)) {
-            let lane = orders.lane(0, *kind);
-            orders.set(lane, 3, true);
+            let order = orders.order(0, *kind);
+            orders.set(order, 3, true);
             let call = orders.next(sent_ms).expect("a call");
             verdict = orders.record(call, Outcome::Conflict, sent_ms);
         }
@@ -73,8 +73,8 @@
         let sent_ms = round * 20_000;
         let outcomes = [(Spot, Outcome::Conflict), (Ordinary, Outcome::Done)];
         for (kind, outcome) in outcomes {
-            let lane = orders.lane(0, kind);
-            orders.set(lane, round as u32, true);
+            let order = orders.order(0, kind);
+            orders.set(order, round as u32, true);
             let call = orders.next(sent_ms).expect("a call");
             orders.record(call, outcome, sent_ms);
         }
