--- a/crates/yucca-serve/src/held.rs
+++ b/crates/yucca-serve/src/held.rs
@@ -19,37 +19,45 @@
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub enum AdmissionPolicy {
     /// [`Overload`], which knows organisations, kinds and sizes.
-    #[default]
     Overload,
-    /// [`Forecast`] alone, with which simulations compare it.
+    /// [`Forecast`] alone.
     ///
     /// [`Forecast`]: yuccacove::forecast::Forecast
+    #[default]
     Forecast,
 }
 
 /// State of the decision for all services.
 #[derive(Debug, Default)]
 pub struct Overloads {
-    policy: AdmissionPolicy,
+    /// Policy for all services; `None` to choose it by whether there are organisations.
+    fixed: Option<AdmissionPolicy>,
     services: RefCell<IndexMap<String, Rc<ServiceOverload>>>,
 }
 
 impl Overloads {
-    /// Creates the state for a policy.
+    /// Creates the state for a policy that does not depend on organisations, for comparisons.
     pub fn new(policy: AdmissionPolicy) -> Self {
         Self {
-            policy,
+            fixed: Some(policy),
             services: RefCell::default(),
         }
     }
 
-    /// Returns the state for a service.
-    pub fn service(&self, service: &str) -> Rc<ServiceOverload> {
-        if let Some(known) = self.services.borrow().get(service) {
-            return Rc::clone(known);
+    /// Returns the state for a service. [`Overload`] decides only where organisations share the engines;
+    /// without them its holds of urgent requests cost callers of small fleets more than they gain.
+    pub fn service(&self, service: &str, has_organisations: bool) -> Rc<ServiceOverload> {
+        let policy = self.fixed.unwrap_or(if has_organisations {
+            AdmissionPolicy::Overload
+        } else {
+            AdmissionPolicy::Forecast
+        });
+        let known = self.services.borrow().get(service).cloned();
+        if let Some(known) = known.filter(|known| known.policy == policy) {
+            return known;
         }
         let added = Rc::new(ServiceOverload {
-            policy: self.policy,
+            policy,
             ..ServiceOverload::default()
         });
         let mut services = self.services.borrow_mut();
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -19,6 +19,7 @@
 use crate::demand::DemandGuard;
 use crate::directory::BackendKey;
 use crate::hash::hash_of;
+use crate::held::ServiceOverload;
 use crate::host::Host;
 use crate::named_limits::{self, GRANT_WAIT_MS};
 use crate::plain;
@@ -239,6 +240,13 @@
         u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
     }
 
+    /// Returns the decision for overload of the request's service.
+    pub fn overload(&self) -> Rc<ServiceOverload> {
+        let host = &self.host;
+        host.overloads
+            .service(&self.service, host.has_organisations())
+    }
+
     /// Counts the request towards the demand for the service's engines until it ends, unless it counts
     /// already. Its prefill is forecast to take `prefill_ms`.
     pub fn count_demand(&self, prefill_ms: f64) {
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -115,7 +115,7 @@
 async fn choose_admitted<B: Backends>(
     context: &RequestContext<B>,
 ) -> Result<EngineChoice, Box<Reply>> {
-    let overload = context.host.overloads.service(&context.service);
+    let overload = context.overload();
     let mut held: Option<Held> = None;
     let mut is_admitted = context.has_started();
     loop {
@@ -571,7 +571,7 @@
     };
     let tokens = last_event.saturating_mul(u64::from(context.engine.tokens_per_event));
     let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
-    let overload = context.host.overloads.service(&context.service);
+    let overload = context.overload();
     let kind = hash_of(&context.route.name);
     overload.record_output(kind, prompt.max_output_tokens, tokens);
 }
