Let responses leave memory to the bodies of requests

Cause: responses could use all of that memory, and a request's body reserves a segment of up to 32 KiB since bodies are kept in segments; before, its few bytes mostly fitted into what was left over.

--- a/src/memory_budget.rs
+++ b/src/memory_budget.rs
@@ -20,6 +20,9 @@
 const BODY_SHARE_DIVISOR: usize = 2;
 /// Share of the bodies' memory, as a divisor, that requests leave to responses.
 const RESPONSE_SHARE_DIVISOR: usize = 8;
+/// Share of the bodies' memory, as a divisor, that responses leave to requests. Answers without end would
+/// else take the room for the small bodies of ordinary requests.
+const REQUEST_SHARE_DIVISOR: usize = 16;
 /// Share of the process's memory, in eighths, that connections may use.
 const CONNECTION_SHARE_EIGHTHS: usize = 3;
 /// Share of the process's memory, in eighths, that bodies and connections may use together. The rest is
@@ -100,7 +103,11 @@
                 let limit_bytes = self.body_capacity_bytes - left_to_responses;
                 fits(self.request_bytes, limit_bytes) && fits(body_bytes, self.body_capacity_bytes)
             }
-            Purpose::Response => fits(body_bytes, self.body_capacity_bytes),
+            Purpose::Response => {
+                let left_to_requests = self.body_capacity_bytes / REQUEST_SHARE_DIVISOR;
+                let limit_bytes = self.body_capacity_bytes - left_to_requests;
+                fits(self.response_bytes, limit_bytes) && fits(body_bytes, self.body_capacity_bytes)
+            }
             Purpose::Connection => fits(self.connection_bytes, self.connection_capacity_bytes),
         };
         fits_purpose && fits(self.used_bytes(), self.total_capacity_bytes)
