Replace ordinary engines by spot engines before there is demand

Cause: nothing was ordered before demand had been observed for 3 s, and engines were given back a quarter at a time, 3 s apart.

Change: while hosts answer and have had no request yet, the number of engines that was found is the need. Spot engines replace ordinary ones so that this number also remains after the loss of any zone's spot engines; a third stays ordinary. The replaced engines are given back at once, as they hold no cached prefix.

Test: plan_before_demand and order_engines_before_demand fail without the change (the cost and the number of ordinary engines stay as they are). order_engines_without_knowledge asserted that an idle fleet orders nothing; an idle fleet is now covered by order_engines_before_demand, which asserts that it never has fewer engines than were found. Unknown demand still orders nothing.

--- a/crates/yucca-serve/src/scaling.rs
+++ b/crates/yucca-serve/src/scaling.rs
@@ -11,7 +11,9 @@
 use tokio::time::{Duration, sleep};
 use yucca_io::log;
 use yuccacove::engine_demand::{DemandSample, EngineCapacity, Level, NeedHistory};
-use yuccacove::engine_scaling::{Change, EngineKind, KindState, Limits, Need, Planner, ZoneState};
+use yuccacove::engine_scaling::{
+    Change, EngineKind, KindState, Limits, Lowering, Need, Planner, ZoneState,
+};
 use yuccacove::event::Event;
 use yuccacove::fleet_rate::HostId;
 use yuccacove::lease::Authority;
@@ -35,6 +37,8 @@
 const STEADY_MS: u64 = 3_000;
 /// Time beyond the boot time after which engines that an earlier holder ordered are listed.
 const BOOT_SLACK_MS: u64 = 3_000;
+/// Time without a further engine after which all engines that were started with the hosts have registered.
+const REGISTRATION_MS: u64 = 2_000;
 /// Epoch of the first holder, which has no predecessor.
 const FIRST_EPOCH: u64 = 1;
 /// Shortest interval between two log lines on the need for the engines of a service.
@@ -94,6 +98,9 @@
     planner: Planner,
     orders: ScaleOrders,
     history: NeedHistory,
+    /// Most engines that were left after the loss of any zone's spot engines before the first order, and
+    /// since when there have not been more.
+    found: (u32, u64),
     pause: Option<Pause>,
     /// Whether anything was ordered under this epoch.
     has_ordered: bool,
@@ -107,6 +114,7 @@
             zones,
             orders: ScaleOrders::default(),
             history: NeedHistory::default(),
+            found: (0, 0),
             pause: None,
             has_ordered: false,
             need_logged_ms: 0,
@@ -263,7 +271,18 @@
     if let Some(demand) = &demand {
         state.history.observe(demand, service.capacity(), now_ms);
     }
-    let need = state.history.need(now_ms).filter(|_| demand.is_some());
+    let remaining = remaining_engines(&zones);
+    if !state.has_ordered && remaining > state.found.0 {
+        state.found = (remaining, now_ms);
+    }
+    let (found, found_ms) = state.found;
+    let idle_need = || {
+        let is_complete = now_ms >= found_ms + REGISTRATION_MS;
+        let need = state.history.idle_need(found, now_ms);
+        need.filter(|_| is_complete)
+    };
+    let need = state.history.need(now_ms).or_else(idle_need);
+    let need = need.filter(|_| demand.is_some());
     let pause = match need {
         _ if state.orders.is_stopped() => Some(Pause::Stopped),
         _ if !is_ready => Some(Pause::Directory),
@@ -281,14 +300,17 @@
     if let Some(demand) = &demand {
         log_need(state, service, demand, &need, now_ms);
     }
+    let is_successor = authority.epoch > FIRST_EPOCH;
     // Engines that the previous holder ordered may still be booting.
     let own_ms = (authority.since_ms + host.deployment.lease_ms + BOOT_SLACK_MS)
         .saturating_add(limits.boot_ms);
-    let may_lower = state.history.is_settled(now_ms) && now_ms >= own_ms;
-    let changes = state
-        .planner
-        .plan(&limits, &zones, &need, may_lower, now_ms);
-    let is_successor = authority.epoch > FIRST_EPOCH;
+    let lowering = if is_successor && now_ms < own_ms {
+        Lowering::Forbidden
+    } else {
+        state.history.lowering(now_ms)
+    };
+    let changes = state.planner.plan(&limits, &zones, &need, lowering, now_ms);
+    let may_lower = lowering != Lowering::Forbidden;
     if is_successor && may_lower && !state.has_ordered && changes.is_empty() {
         state.has_ordered = true;
         affirm(state, &zones);
@@ -299,6 +321,13 @@
     }
 }
 
+/// Returns the number of engines that serve after the loss of the spot engines of the zone with the most.
+fn remaining_engines(zones: &[ZoneState]) -> u32 {
+    let serving = zones.iter().map(|z| z.ordinary.serving + z.spot.serving);
+    let most_spot = zones.iter().map(|z| z.spot.serving).max();
+    serving.sum::<u32>() - most_spot.unwrap_or(0)
+}
+
 /// Logs the demand and the need that follows from it, at most once in [`NEED_LOG_INTERVAL_MS`].
 fn log_need(
     state: &mut ServiceState,
--- a/src/engine_demand.rs
+++ b/src/engine_demand.rs
@@ -20,7 +20,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::engine_scaling::Need;
+use crate::engine_scaling::{BAND, Lowering, Need};
 use crate::fleet_rate::HostId;
 
 /// Target fraction of time that a prefill engine is busy.
@@ -57,6 +57,14 @@
 const SETTLED_MS: u64 = 8_000;
 /// Time for which no demand at all must be observed before it counts as known.
 const IDLE_OBSERVATION_MS: u64 = 60_000;
+/// Time without demand after which the engines that were found are replaced by cheaper ones. Demand that
+/// was there before this host became the holder is seen within it.
+const IDLE_MS: u64 = 1_000;
+/// The same for giving back the engines that were replaced.
+const IDLE_SETTLED_MS: u64 = 5_000;
+/// Share of the engines found without demand that is kept for the most urgent kinds, and that stays
+/// ordinary.
+const IDLE_RESERVE_SHARE: f64 = 1.0 / 3.0;
 /// Number of intervals between two questions for which the demand of a host counts.
 const FRESH_ROUNDS: f64 = 2.5;
 /// Time for an answer to arrive.
@@ -371,12 +379,39 @@
         })
     }
 
-    /// Whether demand was observed for long enough to give engines back.
-    pub fn is_settled(&self, now_ms: u64) -> bool {
-        let settled_ms = self.first_demand_ms.map(|ms| ms + SETTLED_MS);
-        settled_ms.is_some_and(|settled_ms| now_ms >= settled_ms)
-            || self
-                .first_ms
-                .is_some_and(|first_ms| now_ms >= first_ms + IDLE_OBSERVATION_MS)
+    /// Returns the need for engines while there has been no demand yet. `found` is the number that was left
+    /// at the start after the loss of any zone's spot engines. It is the best estimate of what the demand
+    /// will need, so that it stays the same.
+    pub fn idle_need(&self, found: u32, now_ms: u64) -> Option<Need> {
+        let is_idle = self.first_demand_ms.is_none() && self.observed_ms(now_ms) >= IDLE_MS;
+        let found = f64::from(found);
+        let reserve = (found * IDLE_RESERVE_SHARE).max(MIN_RESERVE);
+        // The band is for needs that change.
+        let all = (found / BAND).max(MIN_POOL);
+        is_idle.then_some(Need {
+            whole: all,
+            firm: all,
+            urgent: reserve,
+            reserve,
+        })
+    }
+
+    /// Returns how engines may be given back, after the time for which demand was observed.
+    pub fn lowering(&self, now_ms: u64) -> Lowering {
+        let observed_ms = self.observed_ms(now_ms);
+        let demand_ms = self
+            .first_demand_ms
+            .map(|first_ms| now_ms.saturating_sub(first_ms));
+        match demand_ms {
+            Some(demand_ms) if demand_ms >= SETTLED_MS => Lowering::Stepwise,
+            _ if observed_ms >= IDLE_OBSERVATION_MS => Lowering::Stepwise,
+            None if observed_ms >= IDLE_SETTLED_MS => Lowering::AtOnce,
+            _ => Lowering::Forbidden,
+        }
+    }
+
+    fn observed_ms(&self, now_ms: u64) -> u64 {
+        self.first_ms
+            .map_or(0, |first_ms| now_ms.saturating_sub(first_ms))
     }
 }
--- a/src/engine_scaling.rs
+++ b/src/engine_scaling.rs
@@ -33,7 +33,7 @@
 const STEP_SHARE: f64 = 0.25;
 /// Margin over the need to which engines are ordered, and down to which they are given back. Without
 /// it a need that changes a little would lead to an order each time.
-const BAND: f64 = 1.15;
+pub(crate) const BAND: f64 = 1.15;
 /// Smallest saving, as a share of the present cost, for which engines are replaced or given back.
 const MIN_SAVING_SHARE: f64 = 0.08;
 /// Smallest share of the spot engines that is given back.
@@ -97,6 +97,17 @@
     }
 }
 
+/// How engines may be given back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lowering {
+    /// Not yet, because the demand has been observed for too short a time.
+    Forbidden,
+    /// After a time in which they were not needed, a bounded step at a time.
+    Stepwise,
+    /// As soon as others serve in their place. They have served no request and lose no cached prefix.
+    AtOnce,
+}
+
 /// Kind of engines by price and permanence.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum EngineKind {
@@ -449,28 +460,44 @@
         lost
     }
 
-    /// Returns the orders to give now. `may_lower` is `false` while the demand has not been observed
-    /// for long enough to give engines back.
+    /// Returns the orders to give now.
     pub fn plan(
         &mut self,
         limits: &Limits,
         zones: &[ZoneState],
         need: &Need,
-        may_lower: bool,
+        lowering: Lowering,
         now_ms: u64,
     ) -> Vec<Change> {
         let zones = &self.without_reclaimed(zones)[..];
-        let expected: Vec<Numbers> = zones
-            .iter()
-            .map(|zone| zone.numbers(|kind| kind.expected(limits, now_ms)))
-            .collect();
+        let numbers = |of: &dyn Fn(&KindState) -> u32| -> Vec<Numbers> {
+            zones.iter().map(|zone| zone.numbers(of)).collect()
+        };
+        let expected = numbers(&|kind| kind.expected(limits, now_ms));
+        let standing = numbers(&|kind| kind.standing(limits, now_ms));
         let lacking = self.lacks(limits, zones, &expected, need, now_ms);
         let target = self.target(limits, zones, &expected, need, now_ms);
         let mut changes = raises(limits, zones, &expected, &target, need, lacking);
         self.note_low(&expected, &target, now_ms);
-        if may_lower && !lacking {
-            let lowered = self.step_down(limits, zones, &expected, &target, need, now_ms);
-            changes.extend(lowered);
+        let transition = Transition {
+            expected,
+            standing,
+            target,
+        };
+        let kind_and_share = match lowering {
+            _ if lacking => None,
+            Lowering::Forbidden => None,
+            Lowering::Stepwise => {
+                let kind = self.kind_to_lower(limits, zones, &transition, now_ms);
+                kind.map(|kind| (kind, STEP_SHARE))
+            }
+            Lowering::AtOnce => Some((EngineKind::Ordinary, 1.0)),
+        };
+        if let Some((kind, share)) = kind_and_share
+            && let Some(lowered) = step_down(limits, zones, &transition, need, kind, share)
+        {
+            self.last_step_ms = Some(now_ms);
+            changes.push(lowered);
         }
         changes
     }
@@ -562,17 +589,14 @@
         }
     }
 
-    /// Gives back a few engines of the zone where they cost most, if those that serve now suffice
-    /// without them.
-    fn step_down(
-        &mut self,
+    /// Returns the kind of engines of which there have been too many for long enough.
+    fn kind_to_lower(
+        &self,
         limits: &Limits,
         zones: &[ZoneState],
-        expected: &[Numbers],
-        target: &[Numbers],
-        need: &Need,
+        transition: &Transition,
         now_ms: u64,
-    ) -> Option<Change> {
+    ) -> Option<EngineKind> {
         let is_pausing = self
             .last_step_ms
             .is_some_and(|last_ms| now_ms < last_ms + STEP_MS);
@@ -585,48 +609,71 @@
         let is_low = |since_ms: Option<u64>, low_ms| {
             since_ms.is_some_and(|since_ms| now_ms >= since_ms + low_ms)
         };
-        let spot = Sums::of(expected).spot;
-        let excess_spot = spot.saturating_sub(Sums::of(target).spot);
+        let spot = Sums::of(&transition.expected).spot;
+        let excess_spot = spot.saturating_sub(Sums::of(&transition.target).spot);
         let is_spot_worth = excess_spot >= ((f64::from(spot) * MIN_SPOT_EXCESS) as u32).max(2);
-        let kind = if is_low(self.low_since_ms[0], LOW_MS) {
-            EngineKind::Ordinary
+        if is_low(self.low_since_ms[0], LOW_MS) {
+            Some(EngineKind::Ordinary)
         } else if is_spot_worth && is_low(self.low_since_ms[1], LOW_SPOT_MS) {
-            EngineKind::Spot
+            Some(EngineKind::Spot)
         } else {
-            return None;
-        };
-        let excess = |zone: usize| {
-            expected[zone]
-                .of(kind)
-                .saturating_sub(target[zone].of(kind))
-        };
-        let zone = (0..zones.len())
-            .filter(|zone| excess(*zone) > 0)
-            .max_by(|a, b| zones[*a].price.total_cmp(&zones[*b].price))?;
-        let standing: Vec<Numbers> = zones
-            .iter()
-            .map(|zone| zone.numbers(|kind| kind.standing(limits, now_ms)))
-            .collect();
-        let serving: u32 = standing.iter().map(|n| n.all()).sum();
-        let step = ((f64::from(serving) * STEP_SHARE) as u32).max(1);
-        let banded = need.with_band();
-        for fewer in (1..=excess(zone).min(step)).rev() {
-            let engines = expected[zone].of(kind) - fewer;
-            let mut after = standing.clone();
-            *after[zone].of_mut(kind) = engines.min(standing[zone].of(kind));
-            let is_above_min = expected[zone].all() - fewer >= limits.min;
-            if is_above_min && !Lack::of(&banded, Sums::of(&after)).is_any() {
-                self.last_step_ms = Some(now_ms);
-                return Some(Change {
-                    zone,
-                    kind,
-                    engines,
-                    is_raise: false,
-                });
-            }
+            None
+        }
+    }
+}
+
+/// Numbers of engines of each zone between which the orders lead.
+#[derive(Debug)]
+struct Transition {
+    /// Once the orders so far are carried out.
+    expected: Vec<Numbers>,
+    /// That can be relied on now.
+    standing: Vec<Numbers>,
+    /// To be reached.
+    target: Vec<Numbers>,
+}
+
+/// Gives back engines of the zone where they cost most, at most a share of those that serve, if the
+/// others that serve now suffice.
+fn step_down(
+    limits: &Limits,
+    zones: &[ZoneState],
+    transition: &Transition,
+    need: &Need,
+    kind: EngineKind,
+    share: f64,
+) -> Option<Change> {
+    let Transition {
+        expected,
+        standing,
+        target,
+    } = transition;
+    let excess = |zone: usize| {
+        expected[zone]
+            .of(kind)
+            .saturating_sub(target[zone].of(kind))
+    };
+    let zone = (0..zones.len())
+        .filter(|zone| excess(*zone) > 0)
+        .max_by(|a, b| zones[*a].price.total_cmp(&zones[*b].price))?;
+    let serving: u32 = standing.iter().map(|n| n.all()).sum();
+    let step = ((f64::from(serving) * share) as u32).max(1);
+    let banded = need.with_band();
+    for fewer in (1..=excess(zone).min(step)).rev() {
+        let engines = expected[zone].of(kind) - fewer;
+        let mut after = standing.clone();
+        *after[zone].of_mut(kind) = engines.min(standing[zone].of(kind));
+        let is_above_min = expected[zone].all() - fewer >= limits.min;
+        if is_above_min && !Lack::of(&banded, Sums::of(&after)).is_any() {
+            return Some(Change {
+                zone,
+                kind,
+                engines,
+                is_raise: false,
+            });
         }
-        None
     }
+    None
 }
 
 /// Orders more engines: all that are lacking, and spot engines that replace ordinary ones or whose zone
