Share the accounting of memory and connections between both programs

`yucca-entry` limits each body and the number of connections, but not its memory. Its accounting is to be the one of `yucca-platform`, which was bound to one thread.

The modules `memory`, `body_buffer`, `caller_body` and `connections` of yucca-serve move to yucca-io, and keep their paths in yucca-serve. Their state is behind mutexes instead of `RefCell`. After a connection was told to close, a reservation waits for memory that is released, 20 ms at most, instead of one turn of the scheduler, because the closed connection may belong to another thread.

--- a/crates/yucca-serve/src/caller_body.rs
+++ b/crates/yucca-io/src/caller_body.rs
@@ -1,17 +1,17 @@
-//! Reads the body of a caller's request within its own limit and the host's memory.
+//! Bodies in the host's memory, and reading the body of a caller's request within its own limit.
 
 use std::hash::{Hash, Hasher};
-use std::rc::Rc;
+use std::sync::Arc;
 
 use bytes::Bytes;
-use http_body::Body;
 use http_body_util::BodyExt;
+use hyper::body::Body;
 use tokio::time::{Duration, timeout};
 use yuccacove::code::Code;
 use yuccacove::memory_budget::Purpose;
 
 use crate::body_buffer::BodyBuffer;
-use crate::connections::{CallerConnection, refusal_code};
+use crate::caller_connections::{CallerConnection, refusal_code};
 use crate::memory::{Memory, MemoryGuard};
 
 /// Longest time for which the rest of a refused body is read, so that its caller gets the refusal.
@@ -21,7 +21,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct CallerBody {
     segments: Vec<Bytes>,
-    _memory: Option<Rc<MemoryGuard>>,
+    _memory: Option<Arc<MemoryGuard>>,
 }
 
 impl CallerBody {
@@ -35,6 +35,15 @@
         self.segments.iter().map(Bytes::len).sum()
     }
 
+    /// Returns the bytes in one piece, which is a copy if there are several segments.
+    pub fn contiguous(&self) -> Bytes {
+        match self.segments.as_slice() {
+            [] => Bytes::new(),
+            [segment] => segment.clone(),
+            segments => segments.concat().into(),
+        }
+    }
+
     /// Whether there are no bytes.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
@@ -51,6 +60,16 @@
     }
 }
 
+impl From<BodyBuffer> for CallerBody {
+    fn from(buffer: BodyBuffer) -> Self {
+        let (segments, guard) = buffer.finish();
+        Self {
+            segments,
+            _memory: Some(Arc::new(guard)),
+        }
+    }
+}
+
 impl From<Bytes> for CallerBody {
     fn from(bytes: Bytes) -> Self {
         Self {
@@ -114,11 +133,7 @@
         let _ = buffer.try_push(&data);
         caller.set_held(buffer.capacity());
     }
-    let (segments, guard) = buffer.finish();
-    Ok(CallerBody {
-        segments,
-        _memory: Some(Rc::new(guard)),
-    })
+    Ok(buffer.into())
 }
 
 /// Reads and discards the rest of a body of at most `max_bytes`.
--- a/crates/yucca-serve/src/connections.rs
+++ b/crates/yucca-io/src/caller_connections.rs
@@ -3,14 +3,12 @@
 //!
 //! [`yuccacove::connection_budget`] decides; this module holds the connections and tells them to close.
 
-use std::cell::{Cell, RefCell};
-use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use indexmap::IndexMap;
 use tokio::sync::Notify;
-use tokio::task::yield_now;
-use tokio::time::{Duration, Instant, sleep};
-use yucca_io::log;
+use tokio::time::{Duration, Instant, sleep, timeout};
 use yuccacove::code::Code;
 use yuccacove::connection_budget::{
     CloseReason, Closing, ConnectionBudget, ConnectionKey, Phase, Shortage, Timeouts,
@@ -18,6 +16,7 @@
 use yuccacove::event::Event;
 use yuccacove::memory_budget::Purpose;
 
+use crate::log;
 use crate::memory::{Memory, MemoryGuard};
 
 /// Memory of an open connection: its state and hyper's read buffer.
@@ -26,6 +25,8 @@
 const REQUEST_BYTES: usize = 32 * 1_024;
 /// Number of times that a reservation is tried again after a connection was told to close.
 const MAX_RELIEF_TRIES: u32 = 8;
+/// Longest wait for the memory of a connection that was told to close. Its task may run on another thread.
+const RELEASE_TIMEOUT: Duration = Duration::from_millis(20);
 /// Interval at which callers that have taken too long are looked for.
 const CHECK_INTERVAL_MS: u64 = 250;
 /// Shortest delay of a check that counts as a pause of the process.
@@ -36,35 +37,40 @@
 /// Numbers of what was closed and refused, since the start.
 #[derive(Debug, Default)]
 pub struct ClosedConnections {
-    by_reason: RefCell<IndexMap<CloseReason, u64>>,
-    refused: Cell<u64>,
-    refused_bodies: Cell<u64>,
+    by_reason: Mutex<IndexMap<CloseReason, u64>>,
+    refused: AtomicU64,
+    refused_bodies: AtomicU64,
 }
 
 impl ClosedConnections {
     /// Returns the number of connections that were closed for a reason.
     pub fn count(&self, reason: CloseReason) -> u64 {
-        let by_reason = self.by_reason.borrow();
+        let by_reason = lock(&self.by_reason);
         by_reason.get(&reason).copied().unwrap_or(0)
     }
 
     /// Returns the number of connections that were not accepted.
     pub fn refused(&self) -> u64 {
-        self.refused.get()
+        self.refused.load(Ordering::Relaxed)
+    }
+
+    /// Counts a connection that was not accepted.
+    pub fn record_refused(&self) {
+        self.refused.fetch_add(1, Ordering::Relaxed);
     }
 
     /// Returns the number of requests that were refused for their body.
     pub fn refused_bodies(&self) -> u64 {
-        self.refused_bodies.get()
+        self.refused_bodies.load(Ordering::Relaxed)
     }
 
     /// Counts a request that was refused for its body.
     pub fn record_refused_body(&self) {
-        self.refused_bodies.set(self.refused_bodies.get() + 1);
+        self.refused_bodies.fetch_add(1, Ordering::Relaxed);
     }
 
     fn record(&self, reason: CloseReason) {
-        *self.by_reason.borrow_mut().entry(reason).or_default() += 1;
+        *lock(&self.by_reason).entry(reason).or_default() += 1;
     }
 
     /// Returns all numbers as fields of a log line.
@@ -81,13 +87,13 @@
 /// Open connections of callers. Clones share them.
 #[derive(Debug, Clone)]
 pub struct Connections {
-    shared: Rc<Shared>,
+    shared: Arc<Shared>,
 }
 
 #[derive(Debug)]
 struct Shared {
-    budget: RefCell<ConnectionBudget>,
-    signals: RefCell<IndexMap<ConnectionKey, Rc<CloseSignal>>>,
+    budget: Mutex<ConnectionBudget>,
+    signals: Mutex<IndexMap<ConnectionKey, Arc<CloseSignal>>>,
     memory: Memory,
     closed: ClosedConnections,
     started: Instant,
@@ -96,7 +102,7 @@
 /// Tells the tasks of a connection to close it.
 #[derive(Debug, Default)]
 struct CloseSignal {
-    reason: Cell<Option<CloseReason>>,
+    reason: OnceLock<CloseReason>,
     notify: Notify,
 }
 
@@ -105,9 +111,9 @@
     /// requests, may use `max_descriptors`.
     pub fn new(max_descriptors: usize, memory: Memory) -> Self {
         Self {
-            shared: Rc::new(Shared {
-                budget: RefCell::new(ConnectionBudget::new(max_descriptors)),
-                signals: RefCell::default(),
+            shared: Arc::new(Shared {
+                budget: Mutex::new(ConnectionBudget::new(max_descriptors)),
+                signals: Mutex::default(),
                 memory,
                 closed: ClosedConnections::default(),
                 started: Instant::now(),
@@ -117,7 +123,7 @@
 
     /// Returns the number of open connections.
     pub fn count(&self) -> usize {
-        self.shared.budget.borrow().count()
+        lock(&self.shared.budget).count()
     }
 
     /// Returns the numbers of what was closed and refused.
@@ -129,47 +135,72 @@
     pub async fn open(&self) -> Option<CallerConnection> {
         for _ in 0..=MAX_RELIEF_TRIES {
             let mut memory = self.shared.memory.guard(Purpose::Connection);
-            let shortage = if !self.shared.budget.borrow().has_room(1) {
+            let shortage = if !lock(&self.shared.budget).has_room(1) {
                 Shortage::Descriptors
             } else if !memory.grow(RESERVED_CONNECTION_BYTES) {
                 Shortage::ConnectionMemory
             } else {
                 return Some(self.add(memory));
             };
-            if !self.relieve(shortage) {
+            if !self.relieve_and_wait(shortage).await {
                 break;
             }
-            yield_now().await;
         }
-        let refused = &self.shared.closed.refused;
-        refused.set(refused.get() + 1);
+        self.shared.closed.record_refused();
         None
     }
 
     fn add(&self, memory: MemoryGuard) -> CallerConnection {
-        let key = self.shared.budget.borrow_mut().open(self.now_ms());
-        let signal = Rc::new(CloseSignal::default());
-        let mut signals = self.shared.signals.borrow_mut();
-        signals.insert(key, Rc::clone(&signal));
+        let signal = Arc::new(CloseSignal::default());
+        // Held until the signal is there, as another thread may choose the connection once it is open.
+        let mut signals = lock(&self.shared.signals);
+        let key = lock(&self.shared.budget).open(self.now_ms());
+        signals.insert(key, Arc::clone(&signal));
         CallerConnection {
             connections: self.clone(),
             key,
             signal,
-            memory: RefCell::new(memory),
+            memory: Mutex::new(memory),
         }
     }
 
     /// Tells the connection that makes least progress to close. Returns `false` if none may be closed.
     pub fn relieve(&self, shortage: Shortage) -> bool {
         let now_ms = self.now_ms();
-        let closing = self.shared.budget.borrow_mut().choose(shortage, now_ms);
+        let closing = lock(&self.shared.budget).choose(shortage, now_ms);
         closing.inspect(|closing| self.signal(*closing)).is_some()
     }
 
+    /// Calls `reserve` until it succeeds, and closes other connections in between. Returns `false` if
+    /// none may be closed any more.
+    pub async fn reserve_body(&self, mut reserve: impl FnMut() -> bool) -> bool {
+        for _ in 0..MAX_RELIEF_TRIES {
+            if reserve() {
+                return true;
+            }
+            if !self.relieve_and_wait(Shortage::BodyMemory).await {
+                return false;
+            }
+        }
+        reserve()
+    }
+
+    /// Tells the connection that makes least progress to close, and waits for memory that is released.
+    /// Returns `false` if none may be closed.
+    async fn relieve_and_wait(&self, shortage: Shortage) -> bool {
+        let released = self.shared.memory.released();
+        let is_relieved = self.relieve(shortage);
+        if is_relieved {
+            // The next try shows whether it was enough.
+            let _ = timeout(RELEASE_TIMEOUT, released).await;
+        }
+        is_relieved
+    }
+
     fn signal(&self, closing: Closing) {
         self.shared.closed.record(closing.reason);
-        if let Some(signal) = self.shared.signals.borrow().get(&closing.key) {
-            signal.reason.set(Some(closing.reason));
+        if let Some(signal) = lock(&self.shared.signals).get(&closing.key) {
+            let _ = signal.reason.set(closing.reason);
             signal.notify.notify_waiters();
         }
     }
@@ -186,7 +217,7 @@
             let late_ms = (now_ms - checked_ms).saturating_sub(CHECK_INTERVAL_MS);
             checked_ms = now_ms;
             let overdue = {
-                let mut budget = self.shared.budget.borrow_mut();
+                let mut budget = lock(&self.shared.budget);
                 if late_ms >= MIN_PAUSE_MS {
                     budget.exclude_pause(late_ms, now_ms);
                 }
@@ -218,8 +249,8 @@
 pub struct CallerConnection {
     connections: Connections,
     key: ConnectionKey,
-    signal: Rc<CloseSignal>,
-    memory: RefCell<MemoryGuard>,
+    signal: Arc<CloseSignal>,
+    memory: Mutex<MemoryGuard>,
 }
 
 impl CallerConnection {
@@ -228,7 +259,7 @@
         loop {
             let notified = self.signal.notify.notified();
             if let Some(reason) = self.signal.reason.get() {
-                return reason;
+                return *reason;
             }
             notified.await;
         }
@@ -243,23 +274,18 @@
     /// Returns `false` if there is no room for it.
     pub async fn run_request(&self) -> bool {
         for _ in 0..=MAX_RELIEF_TRIES {
-            let has_descriptor = self.connections.shared.budget.borrow().has_room(1);
+            let has_descriptor = lock(&self.connections.shared.budget).has_room(1);
             let shortage = if !has_descriptor {
                 Shortage::Descriptors
-            } else if !self
-                .memory
-                .borrow_mut()
-                .resize(RESERVED_CONNECTION_BYTES + REQUEST_BYTES)
-            {
+            } else if !lock(&self.memory).resize(RESERVED_CONNECTION_BYTES + REQUEST_BYTES) {
                 Shortage::ConnectionMemory
             } else {
                 self.set_phase(Phase::Running);
                 return true;
             };
-            if !self.connections.relieve(shortage) {
+            if !self.connections.relieve_and_wait(shortage).await {
                 return false;
             }
-            yield_now().await;
         }
         false
     }
@@ -267,54 +293,49 @@
     /// Ends a request.
     pub fn end_request(&self) {
         // A smaller size is always granted.
-        let _ = self.memory.borrow_mut().resize(RESERVED_CONNECTION_BYTES);
+        let _ = lock(&self.memory).resize(RESERVED_CONNECTION_BYTES);
         self.set_held(0);
         self.set_phase(Phase::Idle);
     }
 
+    /// Whether the head of a request is arriving.
+    pub fn is_receiving_head(&self) -> bool {
+        lock(&self.connections.shared.budget).phase(self.key) == Some(Phase::Head)
+    }
+
     /// Whether the body of a request is arriving.
     pub fn is_receiving_body(&self) -> bool {
-        self.connections.shared.budget.borrow().phase(self.key) == Some(Phase::Body)
+        lock(&self.connections.shared.budget).phase(self.key) == Some(Phase::Body)
     }
 
     /// Records the size of the body or the response that the connection holds.
     pub fn set_held(&self, bytes: usize) {
-        let mut budget = self.connections.shared.budget.borrow_mut();
+        let mut budget = lock(&self.connections.shared.budget);
         budget.set_held(self.key, bytes);
     }
 
     /// Records bytes that the caller has sent.
     pub fn record_received(&self, bytes: usize) {
         let now_ms = self.connections.now_ms();
-        let mut budget = self.connections.shared.budget.borrow_mut();
+        let mut budget = lock(&self.connections.shared.budget);
         budget.record_received(self.key, bytes, now_ms);
     }
 
     /// Records whether the caller has just taken bytes, or takes none although there are some for it.
     pub fn record_sent(&self, is_taken: bool) {
         let now_ms = self.connections.now_ms();
-        let mut budget = self.connections.shared.budget.borrow_mut();
+        let mut budget = lock(&self.connections.shared.budget);
         budget.record_sent(self.key, is_taken, now_ms);
     }
 
-    /// Calls `reserve` until it succeeds, and closes other connections in between. Returns `false` if
-    /// none may be closed any more.
-    pub async fn reserve_body(&self, mut reserve: impl FnMut() -> bool) -> bool {
-        for _ in 0..MAX_RELIEF_TRIES {
-            if reserve() {
-                return true;
-            }
-            if !self.connections.relieve(Shortage::BodyMemory) {
-                return false;
-            }
-            yield_now().await;
-        }
-        reserve()
+    /// As [`Connections::reserve_body`].
+    pub async fn reserve_body(&self, reserve: impl FnMut() -> bool) -> bool {
+        self.connections.reserve_body(reserve).await
     }
 
     fn set_phase(&self, phase: Phase) {
         let now_ms = self.connections.now_ms();
-        let mut budget = self.connections.shared.budget.borrow_mut();
+        let mut budget = lock(&self.connections.shared.budget);
         budget.set_phase(self.key, phase, now_ms);
     }
 }
@@ -322,8 +343,8 @@
 impl Drop for CallerConnection {
     fn drop(&mut self) {
         let shared = &self.connections.shared;
-        shared.budget.borrow_mut().close(self.key);
-        shared.signals.borrow_mut().swap_remove(&self.key);
+        lock(&shared.budget).close(self.key);
+        lock(&shared.signals).swap_remove(&self.key);
     }
 }
 
@@ -336,3 +357,8 @@
         }
     }
 }
+
+/// Locks state that is held only briefly.
+fn lock<T>(state: &Mutex<T>) -> MutexGuard<'_, T> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/yucca-io/src/lib.rs
+++ b/crates/yucca-io/src/lib.rs
@@ -20,6 +20,9 @@
 //! assert_eq!(settings.host("entry-1").expect("listed host").zone, "nordvik-a");
 //! ```
 
+pub mod body_buffer;
+pub mod caller_body;
+pub mod caller_connections;
 pub mod catalogue_file;
 pub mod cli;
 pub mod clock;
@@ -27,6 +30,7 @@
 pub mod http_client;
 pub mod ini_file;
 pub mod log;
+pub mod memory;
 pub mod operators;
 pub mod segmented_body;
 pub mod settings;
--- a/crates/yucca-serve/src/memory.rs
+++ b/crates/yucca-io/src/memory.rs
@@ -2,38 +2,48 @@
 //!
 //! [`yuccacove::memory_budget`] decides; this module holds what was reserved.
 
-use std::cell::RefCell;
-use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
 use yuccacove::memory_budget::{MemoryBudget, Purpose};
 
-/// Memory of a host for bodies and connections. Clones share it.
+/// Memory of a host for bodies and connections. Clones share it, also between threads.
 #[derive(Debug, Clone)]
 pub struct Memory {
-    budget: Rc<RefCell<MemoryBudget>>,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    budget: Mutex<MemoryBudget>,
+    released: Notify,
 }
 
 impl Memory {
     /// Creates the memory of a process that may use `process_bytes` in all.
     pub fn new(process_bytes: usize) -> Self {
         Self {
-            budget: Rc::new(RefCell::new(MemoryBudget::new(process_bytes))),
+            shared: Arc::new(Shared {
+                budget: Mutex::new(MemoryBudget::new(process_bytes)),
+                released: Notify::new(),
+            }),
         }
     }
 
     /// Returns how many bytes are in use.
     pub fn used_bytes(&self) -> usize {
-        self.budget.borrow().used_bytes()
+        self.lock().used_bytes()
     }
 
     /// Returns how many bytes are in use for a purpose.
     pub fn used_for(&self, purpose: Purpose) -> usize {
-        self.budget.borrow().used_for(purpose)
+        self.lock().used_for(purpose)
     }
 
     /// Whether `bytes` more could be reserved now.
     pub fn has_room(&self, purpose: Purpose, bytes: usize) -> bool {
-        self.budget.borrow().has_room(purpose, bytes)
+        self.lock().has_room(purpose, bytes)
     }
 
     /// Returns a guard that holds no memory yet.
@@ -44,6 +54,17 @@
             bytes: 0,
         }
     }
+
+    /// Returns a future that ends when memory is released after this call.
+    pub fn released(&self) -> Notified<'_> {
+        self.shared.released.notified()
+    }
+
+    /// Locks the budget; the guard must be held only briefly.
+    fn lock(&self) -> MutexGuard<'_, MemoryBudget> {
+        let budget = self.shared.budget.lock();
+        budget.unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Reserved memory; dropping it releases the memory.
@@ -58,7 +79,7 @@
     /// Reserves `bytes` more. Returns `false`, and reserves none, if there is not enough memory.
     #[must_use]
     pub fn grow(&mut self, bytes: usize) -> bool {
-        let mut budget = self.memory.budget.borrow_mut();
+        let mut budget = self.memory.lock();
         let is_reserved = budget.try_reserve(self.purpose, bytes);
         if is_reserved {
             self.bytes += bytes;
@@ -73,16 +94,22 @@
         if bytes > self.bytes {
             return self.grow(bytes - self.bytes);
         }
-        let mut budget = self.memory.budget.borrow_mut();
-        budget.release(self.purpose, self.bytes - bytes);
-        self.bytes = bytes;
+        self.release(self.bytes - bytes);
         true
     }
+
+    fn release(&mut self, bytes: usize) {
+        if bytes == 0 {
+            return;
+        }
+        self.memory.lock().release(self.purpose, bytes);
+        self.bytes -= bytes;
+        self.memory.shared.released.notify_waiters();
+    }
 }
 
 impl Drop for MemoryGuard {
     fn drop(&mut self) {
-        let mut budget = self.memory.budget.borrow_mut();
-        budget.release(self.purpose, self.bytes);
+        self.release(self.bytes);
     }
 }
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -23,13 +23,10 @@
 //! ```
 
 mod authentication;
-pub mod body_buffer;
 pub mod boot_clock;
-pub mod caller_body;
 pub mod choose;
 pub mod config;
 pub mod config_order;
-pub mod connections;
 pub mod crashes;
 pub mod demand;
 pub mod directory;
@@ -40,7 +37,6 @@
 pub mod held;
 pub mod host;
 pub mod loads;
-pub mod memory;
 pub mod metrics;
 pub mod named_limits;
 pub mod organisations;
@@ -59,3 +55,6 @@
 pub mod store_calls;
 pub mod stream;
 pub mod usage;
+
+pub use yucca_io::caller_connections as connections;
+pub use yucca_io::{body_buffer, caller_body, memory};
