Limit the memory of yucca-entry

Callers and back ends could make the process use any amount of memory: bodies were limited one by one, the values of a chat's JSON not at all, and responses were read whole. A connection that made no progress was closed only by time.

Bodies are kept in segments whose memory is reserved before it is allocated, as in yucca-platform; so are connections, long heads, decoded chats, responses of servers, events and the text of streams. When memory is short, the connections that make least progress are closed, and what finds no memory is refused. A request that has reached a back end gets 3001 or 3003 and never 503. At `max_connections` a new caller is still refused, and the connection that makes least progress is closed for the next one. A body with less than 1 KiB in `progress_timeout_ms` gets 408; before, single bytes kept it open.

The new setting `memory_mb` must be twelve times the largest body; its default is that and 153 KB for each connection, so that no number of ordinary requests within `max_connections` reaches it.

--- a/crates/yucca-entry/src/backend_fault.rs
+++ b/crates/yucca-entry/src/backend_fault.rs
@@ -17,6 +17,8 @@
     Silent,
     /// The connection closed or carried invalid data before the response was complete.
     Broken(String),
+    /// This host has no memory for the response.
+    NoMemory,
     /// The response belongs to another request.
     Crossed(String),
 }
@@ -34,7 +36,7 @@
             Self::WrongVersion => Failure::Refused,
             Self::Status(_) => Failure::Failed,
             Self::Silent => Failure::Silent,
-            Self::Broken(_) => Failure::Broken,
+            Self::Broken(_) | Self::NoMemory => Failure::Broken,
             Self::Crossed(_) => Failure::Crossed,
         }
     }
@@ -47,6 +49,7 @@
             Self::Status(_) => "status",
             Self::Silent => "silent",
             Self::Broken(_) => "broken",
+            Self::NoMemory => "no_memory",
             Self::Crossed(_) => "crossed",
         }
     }
@@ -60,6 +63,7 @@
             Self::Status(status) => write!(f, "status {status}"),
             Self::Silent => write!(f, "no progress"),
             Self::Broken(detail) => write!(f, "broken: {detail}"),
+            Self::NoMemory => write!(f, "this host's memory for responses is in use"),
             Self::Crossed(detail) => write!(f, "crossed: {detail}"),
         }
     }
--- a/crates/yucca-entry/src/callers.rs
+++ b/crates/yucca-entry/src/callers.rs
@@ -8,17 +8,20 @@
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioTimer;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
+use yucca_io::caller_connections::CallerConnection;
 use yuccacove::code::Code;
+use yuccacove::connection_budget::{Shortage, Timeouts};
+use yuccacove::memory_budget::Purpose;
 
+use crate::caller_io::CallerIo;
 use crate::dispatch;
 use crate::host::Host;
 use crate::problem::Problem;
-use crate::progress_io::ProgressIo;
 
 /// Size of a connection's read buffer as a multiple of the header size limit. The buffer exceeds
 /// the limit so that oversized headers get a problem object instead of an empty 431 response.
@@ -27,6 +30,8 @@
 const MIN_BUFFER_BYTES: usize = 8_192;
 /// Pause after a failed `accept`, usually caused by a lack of file descriptors.
 const ACCEPT_RETRY_MS: u64 = 50;
+/// Time for the refusal of a request whose body stops, before its connection is closed.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// The callers' port while it is open.
 pub struct CallersPort {
@@ -100,24 +105,45 @@
                 continue;
             }
         };
-        if open.fetch_add(1, Ordering::Relaxed) >= host.limits.max_connections {
-            open.fetch_sub(1, Ordering::Relaxed);
+        let Some(caller) = open_connection(&host).await else {
             refuse(&host, &stream);
             continue;
-        }
+        };
+        open.fetch_add(1, Ordering::Relaxed);
         let guard = OpenConnection(Arc::clone(&open));
         let host = Arc::clone(&host);
         let is_closing = is_closing.clone();
         tokio::spawn(async move {
-            serve(host, stream, is_closing).await;
+            serve(host, Arc::new(caller), stream, is_closing).await;
             drop(guard);
         });
     }
 }
 
+/// Opens a connection. Returns `None` if there is no room for it. At the maximum number of connections,
+/// the one that makes least progress is closed, so that the next caller finds room.
+async fn open_connection(host: &Host) -> Option<CallerConnection> {
+    if host.connections.count() >= host.limits.max_connections {
+        host.connections.relieve(Shortage::Descriptors);
+        host.connections.closed().record_refused();
+        return None;
+    }
+    host.connections.open().await
+}
+
+/// Closes the connections whose callers take too long, for as long as the process runs.
+pub async fn check_connections(host: Arc<Host>) {
+    let timeouts = Timeouts {
+        head_ms: host.limits.header_timeout_ms,
+        progress_ms: host.limits.progress_timeout_ms,
+    };
+    let connections = host.connections.clone();
+    connections.check(|| timeouts, || ()).await;
+}
+
 /// Rejects a connection over the connection limit without reading from it.
 fn refuse(host: &Host, stream: &TcpStream) {
-    let problem = Problem::new(Code::Overloaded, "the host has too many connections");
+    let problem = Problem::new(Code::Overloaded, "the host has no room for a connection");
     let body = problem.to_json(&host.next_request_id()).to_string();
     let response = format!(
         "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/problem+json\r\n\
@@ -129,27 +155,40 @@
     let _ = stream.try_write(response.as_bytes());
 }
 
-async fn serve(host: Arc<Host>, stream: TcpStream, mut is_closing: watch::Receiver<bool>) {
+async fn serve(
+    host: Arc<Host>,
+    caller: Arc<CallerConnection>,
+    stream: TcpStream,
+    mut is_closing: watch::Receiver<bool>,
+) {
     let _ = stream.set_nodelay(true);
     let limits = host.limits;
-    let io = ProgressIo::new(stream, Duration::from_millis(limits.progress_timeout_ms));
-    let service = service_fn(move |request| dispatch::handle(Arc::clone(&host), request));
+    let buffer = host.memory.guard(Purpose::Connection);
+    let io = CallerIo::new(stream, Arc::clone(&caller), buffer);
+    let service =
+        service_fn(|request| dispatch::handle(Arc::clone(&host), Arc::clone(&caller), request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(limits.header_timeout_ms))
         .max_buf_size((limits.max_header_bytes * HEADER_BUFFER_FACTOR).max(MIN_BUFFER_BYTES))
-        .serve_connection(io, service);
+        .serve_connection(TokioIo::new(io), service);
     let mut connection = std::pin::pin!(connection);
-    // A connection that ends, with or without an error, cancels its request; nothing else has to
-    // be done.
-    let closing = async {
-        let _ = is_closing.wait_for(|closing| *closing).await;
-    };
-    tokio::select! {
-        _ = connection.as_mut() => {}
-        () = closing => {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+    let mut is_stopping = false;
+    loop {
+        tokio::select! {
+            // A connection that ends, with or without an error, cancels its request; nothing else
+            // has to be done.
+            _ = connection.as_mut() => return,
+            _ = is_closing.wait_for(|closing| *closing), if !is_stopping => {
+                is_stopping = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            _ = caller.closing() => break,
         }
     }
+    if caller.is_receiving_body() {
+        connection.as_mut().graceful_shutdown();
+        // The connection is closed, whether its caller takes the refusal or not.
+        let _ = timeout(REFUSAL_TIMEOUT, connection).await;
+    }
 }
--- a/crates/yucca-entry/src/chat.rs
+++ b/crates/yucca-entry/src/chat.rs
@@ -4,6 +4,7 @@
 
 use tokio::sync::mpsc::Sender;
 use tokio::time::{Instant, timeout_at};
+use yucca_io::memory::MemoryGuard;
 use yuccacove::catalogue::Entry;
 
 use crate::chat_execution::{ChatExecution, End};
@@ -44,6 +45,8 @@
     pub traceparent: Option<String>,
     /// When the caller stops waiting.
     pub deadline: Instant,
+    /// Memory that the request takes.
+    pub memory: Arc<MemoryGuard>,
 }
 
 /// Runs the request of `context` and sends its events. The request ends early when the receiver is
--- a/crates/yucca-entry/src/chat_execution.rs
+++ b/crates/yucca-entry/src/chat_execution.rs
@@ -7,6 +7,8 @@
 use tokio::time::{Instant, sleep};
 use yucca_io::clock::boot_ms;
 use yuccacove::catalogue::Class;
+use yuccacove::code::{Code, Outcome};
+use yuccacove::memory_budget::Purpose;
 use yuccacove::retry::{Attempts, Decision};
 use yuccacove::routing::PrefixHash;
 use yuccacove::suspect::Fingerprint;
@@ -14,6 +16,7 @@
 use crate::admission::{Slot, SlotRequest};
 use crate::backend_fault::Fault;
 use crate::chat::{ChatContext, ChatEvent};
+use crate::chat_memory::ResponseMemory;
 use crate::choose;
 use crate::engine_stream::{EngineEvent, EngineRequest, EngineStream, StreamTimeouts};
 use crate::fleet::{ChosenEngine, RequestProfile};
@@ -54,6 +57,7 @@
     attempts: Attempts,
     /// Text of the tokens sent to the caller so far.
     text: String,
+    text_memory: ResponseMemory,
     /// Index of the next token, which is also the number of tokens sent to the caller.
     pub(crate) next_index: u64,
     /// Number of failed attempts.
@@ -90,6 +94,7 @@
             events,
             attempts: Attempts::new(Class::Chat, deadline_boot_ms(context)),
             text: String::new(),
+            text_memory: ResponseMemory::new(host),
             next_index: 0,
             failed: 0,
             prefixes: PrefixHash::of_prompt(&request.prompt),
@@ -311,7 +316,9 @@
         };
         self.current = Some(engine.clone());
         let request = self.engine_request(engine);
-        let mut stream = match EngineStream::open(&self.host.pool, &request, timeouts).await {
+        let memory = self.host.memory.guard(Purpose::Response);
+        let mut stream = match EngineStream::open(&self.host.pool, &request, timeouts, memory).await
+        {
             Ok(stream) => stream,
             Err(fault) => {
                 if !fault.reached_backend() {
@@ -323,13 +330,22 @@
         self.was_dispatched = true;
         let mut limit = timeouts.first;
         loop {
-            match stream.next(limit).await.map_err(AttemptError::Fault)? {
+            let event = match stream.next(limit).await {
+                Ok(event) => event,
+                // The engine is not at fault, and another would find no memory either.
+                Err(Fault::NoMemory) => return Ok(End::Failed(self.memory_problem())),
+                Err(fault) => return Err(AttemptError::Fault(fault)),
+            };
+            match event {
                 EngineEvent::Token {
                     text,
                     finish_reason,
                 } => {
                     engine_attempt.record_token();
                     limit = timeouts.chunk;
+                    if !self.text_memory.reserve(self.host, text.len()).await {
+                        return Ok(End::Failed(self.memory_problem()));
+                    }
                     let served_by = engine.name.clone();
                     if !self.forward_token(served_by, text, finish_reason).await {
                         return Ok(End::CallerGone);
@@ -384,6 +400,17 @@
         true
     }
 
+    fn memory_problem(&self) -> Problem {
+        // The request has reached an engine, so that no code may promise that it has not run.
+        let outcome = self.outcome();
+        let code = match outcome {
+            Outcome::Ran => Code::AnswerIncomplete,
+            Outcome::Unknown | Outcome::NotRun => Code::OutcomeUnknown,
+        };
+        let detail = "the host has no memory for the response";
+        Problem::new(code, detail).with_outcome(outcome)
+    }
+
     fn engine_request(&self, engine: &ChosenEngine) -> EngineRequest {
         EngineRequest {
             address: engine.address,
@@ -392,7 +419,7 @@
             version: engine.version.clone(),
             rank: self.context.entry.rank.index(),
             traceparent: self.context.traceparent.clone(),
-            body: self.context.request.body.clone(),
+            body: Arc::clone(&self.context.request.body),
             next_index: self.next_index,
             text_so_far: self.text.clone(),
             deadline: self.context.deadline,
--- a/crates/yucca-entry/src/chat_fault.rs
+++ b/crates/yucca-entry/src/chat_fault.rs
@@ -35,9 +35,11 @@
         let event = match fault {
             Fault::Silent => Event::ConnectionRetired,
             Fault::Crossed(_) => Event::CrossedAnswer,
-            Fault::NotConnected(_) | Fault::WrongVersion | Fault::Status(_) | Fault::Broken(_) => {
-                Event::BackendFailed
-            }
+            Fault::NotConnected(_)
+            | Fault::WrongVersion
+            | Fault::Status(_)
+            | Fault::Broken(_)
+            | Fault::NoMemory => Event::BackendFailed,
         };
         log::write(
             event,
@@ -89,7 +91,11 @@
         match fault {
             Fault::NotConnected(_) => return ProbeResult::Unreachable,
             Fault::WrongVersion => return ProbeResult::Responsive,
-            Fault::Status(_) | Fault::Silent | Fault::Broken(_) | Fault::Crossed(_) => {}
+            Fault::Status(_)
+            | Fault::Silent
+            | Fault::Broken(_)
+            | Fault::NoMemory
+            | Fault::Crossed(_) => {}
         }
         let Ok(status) = probe::status(engine.address, probe_ms).await else {
             return ProbeResult::Unreachable;
--- a/crates/yucca-entry/src/chat_request.rs
+++ b/crates/yucca-entry/src/chat_request.rs
@@ -1,5 +1,7 @@
 //! The body of a chat request.
 
+use std::sync::Arc;
+
 use serde_json::Value;
 use yuccacove::code::Code;
 
@@ -19,7 +21,7 @@
     /// Contents of all messages in order, joined with spaces.
     pub prompt: String,
     /// The body as received.
-    pub body: Value,
+    pub body: Arc<Value>,
 }
 
 impl ChatRequest {
@@ -66,7 +68,7 @@
             prompt_tokens: prompt.split_whitespace().count() as u64,
             max_tokens,
             prompt,
-            body,
+            body: Arc::new(body),
         })
     }
 }
--- a/crates/yucca-entry/src/daemon.rs
+++ b/crates/yucca-entry/src/daemon.rs
@@ -13,7 +13,7 @@
 use yucca_io::stop::StopFlag;
 use yuccacove::event::Event;
 
-use crate::callers::CallersPort;
+use crate::callers::{self, CallersPort};
 use crate::catalogue_watch;
 use crate::host::Host;
 use crate::join;
@@ -84,6 +84,7 @@
             tokio::spawn(status_poll::run(Arc::clone(&host))),
             tokio::spawn(quota::run(Arc::clone(&host))),
             tokio::spawn(tick_queues(Arc::clone(&host))),
+            tokio::spawn(callers::check_connections(Arc::clone(&host))),
         ];
         Ok(Self {
             host,
--- a/crates/yucca-entry/src/dispatch.rs
+++ b/crates/yucca-entry/src/dispatch.rs
@@ -8,12 +8,15 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
+use yucca_io::caller_body::CallerBody;
+use yucca_io::caller_connections::CallerConnection;
 use yuccacove::catalogue::Class;
 use yuccacove::code::{Code, Outcome};
 
 use crate::admission::SlotRequest;
-use crate::caller_response::{CallerResponse, set_header};
+use crate::caller_response::{CallerResponse, set_header, with_request_end};
 use crate::chat::{self, ChatContext};
+use crate::chat_memory;
 use crate::chat_request::ChatRequest;
 use crate::chat_response::{self, ResponseIds};
 use crate::host::Host;
@@ -37,10 +40,12 @@
 /// Never; failed requests get a problem object as their response.
 pub async fn handle(
     host: Arc<Host>,
+    caller: Arc<CallerConnection>,
     request: Request<Incoming>,
 ) -> Result<CallerResponse, Infallible> {
+    caller.begin_request();
     let request_id = host.next_request_id();
-    let mut response = match run(&host, &request_id, request).await {
+    let mut response = match run(&host, &caller, &request_id, request).await {
         Ok(response) => response,
         Err(problem) => problem.to_response(&request_id).map(BodyExt::boxed),
     };
@@ -51,11 +56,12 @@
         // The load balancer then sends the caller's next request to another host.
         set_header(headers, "connection", "close");
     }
-    Ok(response)
+    Ok(with_request_end(response, caller))
 }
 
 async fn run(
     host: &Arc<Host>,
+    caller: &CallerConnection,
     request_id: &str,
     request: Request<Incoming>,
 ) -> Result<CallerResponse, Problem> {
@@ -67,9 +73,9 @@
         return Err(problem);
     }
     if parts.method == Method::POST && parts.uri.path() == CHAT_PATH {
-        run_chat(host, request_id, &parts, body).await
+        run_chat(host, caller, request_id, &parts, body).await
     } else {
-        run_plain(host, request_id, &parts, body).await
+        run_plain(host, caller, request_id, &parts, body).await
     }
 }
 
@@ -83,17 +89,36 @@
     problem
 }
 
+/// Reads the body of a request and reserves the memory to run it.
+async fn receive(
+    host: &Host,
+    caller: &CallerConnection,
+    body: Incoming,
+) -> Result<CallerBody, Problem> {
+    let body = request::read_body(body, host, caller).await?;
+    if caller.run_request().await {
+        return Ok(body);
+    }
+    let detail = "the host has no memory for another request";
+    Err(Problem::new(Code::Overloaded, detail))
+}
+
 async fn run_chat(
     host: &Arc<Host>,
+    caller: &CallerConnection,
     request_id: &str,
     parts: &Parts,
     body: Incoming,
 ) -> Result<CallerResponse, Problem> {
     let refused = |problem| log_refusal(host, request_id, request_end::NO_ENTRY, problem);
-    let body = request::read_body(body, &host.limits)
+    let body = receive(host, caller, body)
         .await
-        .map_err(refused)?;
-    let chat = ChatRequest::parse(&body).map_err(refused)?;
+        .map_err(|problem| record_refused_body(host, request_id, problem))?;
+    let memory = chat_memory::reserve(host, &body)
+        .await
+        .map_err(|problem| record_refused_body(host, request_id, problem))?;
+    let chat = ChatRequest::parse(&body.contiguous()).map_err(refused)?;
+    drop(body);
     let catalogue = host.catalogue.snapshot();
     let entry = catalogue
         .entry(&chat.entry)
@@ -114,6 +139,7 @@
         request: chat,
         traceparent: request::header_text(&parts.headers, "traceparent"),
         deadline,
+        memory: Arc::new(memory),
     };
     let (events, receiver) = mpsc::channel(TOKEN_BUFFER);
     tokio::spawn(chat::run(Arc::clone(host), context, events));
@@ -126,6 +152,7 @@
 
 async fn run_plain(
     host: &Arc<Host>,
+    caller: &CallerConnection,
     request_id: &str,
     parts: &Parts,
     body: Incoming,
@@ -151,9 +178,9 @@
         Class::Order => Some(request::idempotency_key(&parts.headers).map_err(refused)?),
         Class::Chat | Class::Read => None,
     };
-    let body = request::read_body(body, &host.limits)
+    let body = receive(host, caller, body)
         .await
-        .map_err(refused)?;
+        .map_err(|problem| record_refused_body(host, request_id, unclaimed(parts, problem)))?;
     let call = PlainCall {
         request_id: request_id.to_owned(),
         method: parts.method.clone(),
@@ -225,6 +252,19 @@
     Ok(())
 }
 
+/// Records a request that is refused for its body. If the reason is the body's size, its pace or the
+/// host's memory there is no log line for each, as many callers may send such requests at once.
+fn record_refused_body(host: &Host, request_id: &str, problem: Problem) -> Problem {
+    match problem.code {
+        Code::Overloaded | Code::BodyTooLarge | Code::BodyTimeout => {
+            host.connections.closed().record_refused_body();
+            request_end::refused_unlogged(host, request_id, request_end::NO_ENTRY, &problem);
+            problem
+        }
+        _ => log_refusal(host, request_id, request_end::NO_ENTRY, problem),
+    }
+}
+
 fn log_refusal(host: &Host, request_id: &str, entry: &str, problem: Problem) -> Problem {
     request_end::failed(host, request_id, entry, &problem);
     problem
--- a/crates/yucca-entry/src/engine_stream.rs
+++ b/crates/yucca-entry/src/engine_stream.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,8 +19,14 @@
 use crate::probe;
 use crate::sse::SseParser;
 use yucca_io::connections::{Connection, Pool};
+use yucca_io::memory::MemoryGuard;
 use yucca_io::segmented_body::SegmentedBody;
 
+/// Part of a stream that fits into the memory that each request in progress reserves.
+const RESERVED_EVENT_BYTES: usize = 4 * 1_024;
+/// Copies of an event while it is decoded. The buffer doubles when it grows.
+const EVENT_COPIES: usize = 4;
+
 /// A chat request as an engine receives it.
 #[derive(Debug, Clone)]
 pub struct EngineRequest {
@@ -36,7 +43,7 @@
     /// The caller's trace context.
     pub traceparent: Option<String>,
     /// The caller's body.
-    pub body: Value,
+    pub body: Arc<Value>,
     /// Number of tokens that the caller already has; the stream starts after them.
     pub next_index: u64,
     /// Text of these tokens.
@@ -47,7 +54,7 @@
 
 impl EngineRequest {
     fn to_http(&self) -> Result<Request<SegmentedBody>, http::Error> {
-        let mut body = self.body.clone();
+        let mut body = Value::clone(&self.body);
         body["model"] = json!(self.model);
         body["stream"] = json!(true);
         let left = self.deadline.saturating_duration_since(Instant::now());
@@ -112,6 +119,9 @@
     connection: Connection,
     body: Incoming,
     parser: SseParser,
+    /// Memory for long events. The buffer keeps its size until the end of the stream.
+    memory: MemoryGuard,
+    memory_bytes: usize,
     request_id: String,
     next_index: u64,
     is_finished: bool,
@@ -129,7 +139,7 @@
 }
 
 impl EngineStream {
-    /// Sends `request` over a connection of `pool`.
+    /// Sends `request` over a connection of `pool`. `memory` is for long events.
     ///
     /// # Errors
     ///
@@ -138,6 +148,7 @@
         pool: &Pool,
         request: &EngineRequest,
         timeouts: StreamTimeouts,
+        memory: MemoryGuard,
     ) -> Result<Self, Fault> {
         let mut connection = pool
             .get(request.address)
@@ -158,6 +169,8 @@
                 connection,
                 body: response.into_body(),
                 parser: SseParser::default(),
+                memory,
+                memory_bytes: 0,
                 request_id: request.request_id.clone(),
                 next_index: request.next_index,
                 is_finished: false,
@@ -200,7 +213,7 @@
     ///
     /// # Errors
     ///
-    /// [`Fault::Silent`], [`Fault::Broken`] or [`Fault::Crossed`]; the stream must not be used
+    /// [`Fault::Silent`], [`Fault::Broken`], [`Fault::NoMemory`] or [`Fault::Crossed`]; the stream must not be used
     /// after that.
     pub async fn next(&mut self, limit: Duration) -> Result<EngineEvent, Fault> {
         loop {
@@ -213,6 +226,7 @@
                 Ok(Some(Err(e))) => return Err(Fault::Broken(e.to_string())),
                 Ok(Some(Ok(frame))) => {
                     if let Some(bytes) = frame.data_ref() {
+                        self.reserve(bytes.len())?;
                         self.parser
                             .push(bytes)
                             .map_err(|_| Fault::Broken("event too long".to_owned()))?;
@@ -222,6 +236,19 @@
         }
     }
 
+    /// Reserves the memory to buffer and decode `more` bytes.
+    fn reserve(&mut self, more: usize) -> Result<(), Fault> {
+        let long_bytes = (self.parser.len() + more).saturating_sub(RESERVED_EVENT_BYTES);
+        let needed = long_bytes * EVENT_COPIES;
+        if needed > self.memory_bytes {
+            if !self.memory.resize(needed) {
+                return Err(Fault::NoMemory);
+            }
+            self.memory_bytes = needed;
+        }
+        Ok(())
+    }
+
     /// Releases the connection to `pool` after [`EngineEvent::Done`].
     pub async fn finish(mut self, pool: &Pool, limit: Duration) {
         if let Ok(None) = timeout(limit, self.body.frame()).await {
--- a/crates/yucca-entry/src/host.rs
+++ b/crates/yucca-entry/src/host.rs
@@ -3,7 +3,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use yucca_io::caller_connections::Connections;
 use yucca_io::clock::wall_ms;
+use yucca_io::memory::Memory;
 use yucca_io::settings::{Limits, Policy, Settings};
 use yucca_io::stop::StopFlag;
 use yucca_io::store::Store;
@@ -36,6 +38,10 @@
     pub zone: String,
     /// Limits of the callers' port.
     pub limits: Limits,
+    /// Memory for bodies and connections.
+    pub memory: Memory,
+    /// Open connections of callers.
+    pub connections: Connections,
     /// Configured policies.
     pub policy: Policy,
     /// Time limits and intervals.
@@ -96,10 +102,14 @@
         stop: StopFlag,
     ) -> Self {
         let incarnation = wall_ms();
+        let memory = Memory::new(settings.limits.memory_bytes);
+        let max_descriptors = settings.limits.max_connections.saturating_mul(2);
         Self {
             name: name.to_owned(),
             zone: zone.to_owned(),
             limits: settings.limits,
+            connections: Connections::new(max_descriptors, memory.clone()),
+            memory,
             policy: settings.policy,
             timing,
             incarnation,
--- a/crates/yucca-entry/src/metrics.rs
+++ b/crates/yucca-entry/src/metrics.rs
@@ -9,6 +9,8 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
+use yuccacove::connection_budget::CloseReason;
+use yuccacove::memory_budget::Purpose;
 use yuccacove::rank::Rank;
 
 use crate::host::Host;
@@ -55,6 +57,16 @@
     faults: Family<ByKind, Counter>,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByReason {
+    reason: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ByPurpose {
+    purpose: &'static str,
+}
+
 type HistogramByRank = Family<ByRank, Histogram, fn() -> Histogram>;
 
 fn histogram() -> Histogram {
@@ -192,6 +204,7 @@
         "Non-repeatable calls that have not ended",
         gauge(host.attempts.len() as u64),
     );
+    register_connections(&mut registry, host);
     let mut text = String::new();
     match encode(&mut text, &registry) {
         Ok(()) => text,
@@ -199,6 +212,68 @@
     }
 }
 
+/// Registers the open connections of callers, what was closed and refused, and the memory in use.
+fn register_connections(registry: &mut Registry, host: &Host) {
+    let gauge = |value: usize| {
+        let gauge: Gauge = Gauge::default();
+        gauge.set(as_gauge(value as u64));
+        gauge
+    };
+    let counter = |value: u64| {
+        let counter: Counter = Counter::default();
+        counter.inc_by(value);
+        counter
+    };
+    let reserved = Family::<ByPurpose, Gauge>::default();
+    for purpose in Purpose::ALL {
+        let label = ByPurpose {
+            purpose: purpose.name(),
+        };
+        let bytes = host.memory.used_for(purpose);
+        reserved.get_or_create(&label).set(as_gauge(bytes as u64));
+    }
+    registry.register_with_unit(
+        "reserved_memory",
+        "Memory reserved for bodies and connections",
+        Unit::Bytes,
+        reserved,
+    );
+    registry.register_with_unit(
+        "memory_limit",
+        "Memory that the process may use",
+        Unit::Bytes,
+        gauge(host.limits.memory_bytes),
+    );
+    let closed = host.connections.closed();
+    let by_reason = Family::<ByReason, Counter>::default();
+    for reason in CloseReason::ALL {
+        let label = ByReason {
+            reason: reason.name(),
+        };
+        by_reason.get_or_create(&label).inc_by(closed.count(reason));
+    }
+    registry.register(
+        "closed_connections",
+        "Connections of callers closed by this host, by reason",
+        by_reason,
+    );
+    registry.register(
+        "caller_connections",
+        "Open connections of callers",
+        gauge(host.connections.count()),
+    );
+    registry.register(
+        "refused_connections",
+        "Connections of callers that were not accepted",
+        counter(closed.refused()),
+    );
+    registry.register(
+        "refused_bodies",
+        "Requests refused for their body or for lack of memory",
+        counter(closed.refused_bodies()),
+    );
+}
+
 fn as_gauge(value: u64) -> i64 {
     i64::try_from(value).unwrap_or(i64::MAX)
 }
--- a/crates/yucca-entry/src/orders.rs
+++ b/crates/yucca-entry/src/orders.rs
@@ -3,10 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, HeaderValue, StatusCode};
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
+use yucca_io::caller_body::CallerBody;
 use yucca_io::clock::{boot_ms, wall_ms};
 use yucca_io::log;
 use yuccacove::catalogue::Entry;
@@ -65,7 +67,8 @@
         &order.idempotency_key,
     );
     let call = &order.call;
-    let fingerprint = claim::fingerprint(call.method.as_str(), &call.target, &call.body);
+    let fingerprint =
+        claim::fingerprint_of_segments(call.method.as_str(), &call.target, call.body.segments());
     let token = token_of(&call.request_id);
     let (attempt, step) = Attempt::start(key, fingerprint, host.name.clone(), token, wall_ms())
         .map_err(|code| Problem::new(code, "the time of issue in the key is out of range"))?;
@@ -311,10 +314,18 @@
             .and_then(|value| value.to_str().ok())
             .unwrap_or_default()
             .to_owned(),
-        body: String::from_utf8(response.body.to_vec()).ok(),
+        body: stored_body(&response.body),
     }
 }
 
+/// Copies a body that is short enough to be stored.
+fn stored_body(body: &CallerBody) -> Option<String> {
+    if body.len() > claim::RESPONSE_MAX_BYTES {
+        return None;
+    }
+    String::from_utf8(body.segments().concat()).ok()
+}
+
 fn from_stored(stored: claim::Response) -> PlainResponse {
     let mut headers = HeaderMap::new();
     if let Ok(value) = HeaderValue::from_str(&stored.content_type)
@@ -325,6 +336,6 @@
     PlainResponse {
         status: StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK),
         headers,
-        body: stored.body.unwrap_or_default().into(),
+        body: Bytes::from(stored.body.unwrap_or_default()).into(),
     }
 }
--- a/crates/yucca-entry/src/plain.rs
+++ b/crates/yucca-entry/src/plain.rs
@@ -2,19 +2,21 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use http::header::{ACCEPT, CONTENT_TYPE, HOST, HeaderName};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
 use tokio::time::{Instant, timeout};
 
 use crate::backend_fault::Fault;
-use crate::caller_response::{CallerResponse, set_header};
+use crate::caller_response::{CallerResponse, HeldBody, set_header};
 use crate::choose::ChosenServer;
 use crate::host::Host;
+use yucca_io::body_buffer::BodyBuffer;
+use yucca_io::caller_body::CallerBody;
 use yucca_io::connections::Connection;
 use yucca_io::segmented_body::SegmentedBody;
+use yuccacove::memory_budget::Purpose;
 
 /// Largest response of a plain service; responses are read completely and checked before they are
 /// forwarded.
@@ -43,7 +45,7 @@
     /// Headers of the caller's request.
     pub headers: HeaderMap,
     /// Body of the caller's request.
-    pub body: Bytes,
+    pub body: CallerBody,
     /// Target time of the complete response, in milliseconds.
     pub first_token_ms: u64,
     /// When the caller stops waiting.
@@ -58,13 +60,13 @@
     /// Headers for the caller.
     pub headers: HeaderMap,
     /// Body for the caller.
-    pub body: Bytes,
+    pub body: CallerBody,
 }
 
 impl PlainResponse {
     /// Converts to the response to the caller; `served_by` is empty for a stored response.
     pub fn into_response(self, served_by: &str) -> CallerResponse {
-        let mut response = Response::new(Full::new(self.body).boxed());
+        let mut response = Response::new(HeldBody::from(self.body).boxed());
         *response.status_mut() = self.status;
         *response.headers_mut() = self.headers;
         if !served_by.is_empty() {
@@ -120,7 +122,7 @@
             call.request_id
         )));
     }
-    let body = read_response_body(body, Duration::from_millis(host.timing.chunk_ms)).await?;
+    let body = read_response_body(host, body).await?;
     host.pool.release(connection);
     let headers = FORWARDED_RESPONSE_HEADERS
         .into_iter()
@@ -144,7 +146,7 @@
         .header(HOST, server.address.to_string())
         .header("x-request-id", &call.request_id)
         .header("x-deadline-ms", left.as_millis().max(1).to_string())
-        .body(SegmentedBody::from(call.body.clone()))?;
+        .body(SegmentedBody::new(call.body.segments().iter().cloned()))?;
     let forwarded = FORWARDED_REQUEST_HEADERS
         .into_iter()
         .map(HeaderName::from_static)
@@ -170,20 +172,34 @@
     }
 }
 
-async fn read_response_body(mut body: Incoming, limit: Duration) -> Result<Bytes, Fault> {
-    let mut buffer = BytesMut::new();
+async fn read_response_body(host: &Host, mut body: Incoming) -> Result<CallerBody, Fault> {
+    let limit = Duration::from_millis(host.timing.chunk_ms);
+    let too_large = || Fault::Broken("the answer is too large".to_owned());
+    let declared_bytes = body.size_hint().exact();
+    let declared_bytes = declared_bytes.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
+    if declared_bytes.is_some_and(|bytes| bytes > MAX_RESPONSE_BYTES) {
+        return Err(too_large());
+    }
+    let guard = host.memory.guard(Purpose::Response);
+    let mut buffer = BodyBuffer::new(guard, declared_bytes, MAX_RESPONSE_BYTES);
     loop {
         match timeout(limit, body.frame()).await {
             Err(_) => return Err(Fault::Silent),
-            Ok(None) => return Ok(buffer.freeze()),
+            Ok(None) => return Ok(buffer.into()),
             Ok(Some(Err(e))) => return Err(Fault::Broken(e.to_string())),
             Ok(Some(Ok(frame))) => {
-                if let Some(data) = frame.data_ref() {
-                    if buffer.len() + data.len() > MAX_RESPONSE_BYTES {
-                        return Err(Fault::Broken("the answer is too large".to_owned()));
-                    }
-                    buffer.extend_from_slice(data);
+                let Some(data) = frame.data_ref() else {
+                    continue;
+                };
+                if buffer.len() + data.len() > MAX_RESPONSE_BYTES {
+                    return Err(too_large());
+                }
+                let reserve = || buffer.try_reserve(data.len());
+                if !host.connections.reserve_body(reserve).await {
+                    return Err(Fault::NoMemory);
                 }
+                // There is room for it.
+                let _ = buffer.try_push(data);
             }
         }
     }
--- a/crates/yucca-entry/src/reads.rs
+++ b/crates/yucca-entry/src/reads.rs
@@ -123,13 +123,15 @@
     sent_ms: u64,
     fault: &Fault,
 ) {
+    host.metrics.record_fault(fault.kind());
     let event = match fault {
+        // The server is not at fault. Without a log line, as many requests may meet it at once.
+        Fault::NoMemory => return,
         Fault::Silent => Event::ConnectionRetired,
         Fault::Crossed(_) => Event::CrossedAnswer,
         _ => Event::BackendFailed,
     };
     host.pool.close_idle(server.address);
-    host.metrics.record_fault(fault.kind());
     host.fleet.failed(&server.key(), sent_ms);
     log::write(
         event,
--- a/crates/yucca-entry/src/request.rs
+++ b/crates/yucca-entry/src/request.rs
@@ -2,15 +2,16 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use http::HeaderMap;
 use http::request::Parts;
-use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
+use yucca_io::caller_body::{self, CallerBody};
+use yucca_io::caller_connections::CallerConnection;
 use yucca_io::settings::Limits;
 use yuccacove::code::Code;
 
+use crate::host::Host;
 use crate::problem::Problem;
 
 /// Length limit of an idempotency key.
@@ -40,34 +41,27 @@
 ///
 /// # Errors
 ///
-/// [`Code::BodyTooLarge`], [`Code::BodyTimeout`] or [`Code::BadRequest`].
-pub async fn read_body(mut body: Incoming, limits: &Limits) -> Result<Bytes, Problem> {
-    let too_large = || {
-        let detail = format!("the body exceeds {} bytes", limits.max_body_bytes);
-        Problem::new(Code::BodyTooLarge, detail)
-    };
-    if body.size_hint().lower() > limits.max_body_bytes as u64 {
-        return Err(too_large());
-    }
-    let progress = Duration::from_millis(limits.progress_timeout_ms);
-    let mut buffer = BytesMut::new();
-    loop {
-        match timeout(progress, body.frame()).await {
-            Err(_) => {
-                let detail = format!("no progress for {} ms", limits.progress_timeout_ms);
-                return Err(Problem::new(Code::BodyTimeout, detail));
-            }
-            Ok(None) => return Ok(buffer.freeze()),
-            Ok(Some(Err(e))) => return Err(Problem::new(Code::BadRequest, e.to_string())),
-            Ok(Some(Ok(frame))) => {
-                if let Some(data) = frame.data_ref() {
-                    if buffer.len() + data.len() > limits.max_body_bytes {
-                        return Err(too_large());
-                    }
-                    buffer.extend_from_slice(data);
-                }
-            }
-        }
+/// [`Code::BodyTooLarge`], [`Code::Overloaded`], [`Code::BodyTimeout`] or [`Code::BadRequest`].
+pub async fn read_body(
+    body: Incoming,
+    host: &Host,
+    caller: &CallerConnection,
+) -> Result<CallerBody, Problem> {
+    let limits = &host.limits;
+    let declared_bytes = body.size_hint().exact();
+    let declared_bytes = declared_bytes.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
+    let max_bytes = limits.max_body_bytes;
+    caller_body::read(body, declared_bytes, max_bytes, &host.memory, caller)
+        .await
+        .map_err(|code| Problem::new(code, refusal_detail(code, limits)))
+}
+
+fn refusal_detail(code: Code, limits: &Limits) -> String {
+    match code {
+        Code::BodyTooLarge => format!("the body exceeds {} bytes", limits.max_body_bytes),
+        Code::BodyTimeout => format!("no progress for {} ms", limits.progress_timeout_ms),
+        Code::Overloaded => "the host's memory is in use".to_owned(),
+        _ => "the body is malformed or incomplete".to_owned(),
     }
 }
 
--- a/crates/yucca-entry/src/request_end.rs
+++ b/crates/yucca-entry/src/request_end.rs
@@ -35,13 +35,7 @@
 
 /// Records a request that ended with `problem`.
 pub fn failed(host: &Host, request_id: &str, entry: &str, problem: &Problem) {
-    let code = problem.code.number().to_string();
-    host.metrics.record_request_end(entry, &code);
-    let event = if problem.outcome == Outcome::NotRun {
-        Event::Refused
-    } else {
-        Event::Failed
-    };
+    let event = event_of(problem);
     log::write(
         event,
         &format!(
@@ -51,13 +45,28 @@
             problem.detail
         ),
     );
+    refused_unlogged(host, request_id, entry, problem);
+}
+
+/// As [`failed`], without a log line.
+pub fn refused_unlogged(host: &Host, request_id: &str, entry: &str, problem: &Problem) {
+    let code = problem.code.number().to_string();
+    host.metrics.record_request_end(entry, &code);
     host.decisions.record(
         request_id,
         json!({
-            "event": event.name(),
+            "event": event_of(problem).name(),
             "code": problem.code.number(),
             "outcome": problem.outcome.name(),
             "detail": problem.detail,
         }),
     );
 }
+
+fn event_of(problem: &Problem) -> Event {
+    if problem.outcome == Outcome::NotRun {
+        Event::Refused
+    } else {
+        Event::Failed
+    }
+}
--- a/crates/yucca-entry/src/sse.rs
+++ b/crates/yucca-entry/src/sse.rs
@@ -16,6 +16,16 @@
 pub struct EventTooLong;
 
 impl SseParser {
+    /// Returns the number of buffered bytes.
+    pub fn len(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Whether there are no buffered bytes.
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
     /// Appends the next bytes of the stream.
     ///
     /// # Errors
--- a/crates/yucca-io/src/caller_connections.rs
+++ b/crates/yucca-io/src/caller_connections.rs
@@ -328,6 +328,11 @@
         budget.record_sent(self.key, is_taken, now_ms);
     }
 
+    /// As [`Connections::relieve`].
+    pub fn relieve(&self, shortage: Shortage) -> bool {
+        self.connections.relieve(shortage)
+    }
+
     /// As [`Connections::reserve_body`].
     pub async fn reserve_body(&self, reserve: impl FnMut() -> bool) -> bool {
         self.connections.reserve_body(reserve).await
--- a/crates/yucca-io/src/settings.rs
+++ b/crates/yucca-io/src/settings.rs
@@ -18,6 +18,15 @@
 const COUNT: &str = "a whole number without a unit";
 const MILLISECONDS: &str = "a whole number of milliseconds without a unit";
 const BYTES: &str = "a whole number of bytes without a unit";
+const MEGABYTES: &str = "a whole number of megabytes without a unit";
+
+const MEGABYTE: usize = 1_000_000;
+/// Memory of the process for each byte of the largest body. A chat request takes up to five times its
+/// size while it is decoded and sent, and request bodies may use seven sixteenths of the memory.
+const MEMORY_PER_BODY_BYTE: usize = 12;
+/// Memory of the process for each connection. A connection with a request in progress reserves 56 KiB,
+/// and connections may use three eighths of the memory.
+const MEMORY_PER_CONNECTION_BYTES: usize = 153_000;
 
 /// All settings of a fleet.
 #[derive(Debug, Clone)]
@@ -56,6 +65,8 @@
 pub struct Limits {
     /// Maximum number of open connections.
     pub max_connections: usize,
+    /// Memory that the process may use.
+    pub memory_bytes: usize,
     /// Maximum size of a request body.
     pub max_body_bytes: usize,
     /// Maximum total size of a request's headers.
@@ -66,11 +77,28 @@
     pub progress_timeout_ms: u64,
 }
 
+impl Limits {
+    /// Returns the least memory of a process that serves a body of the largest size.
+    fn min_memory_bytes(max_body_bytes: usize) -> usize {
+        max_body_bytes.saturating_mul(MEMORY_PER_BODY_BYTE)
+    }
+
+    /// Returns the memory of a process whose settings name none: no number of connections up to the
+    /// limit exhausts it with ordinary requests.
+    fn default_memory_bytes(max_connections: usize, max_body_bytes: usize) -> usize {
+        let for_connections = max_connections.saturating_mul(MEMORY_PER_CONNECTION_BYTES);
+        Self::min_memory_bytes(max_body_bytes).saturating_add(for_connections)
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
+        let max_connections = 4_096;
+        let max_body_bytes = 4 * 1_024 * 1_024;
         Self {
-            max_connections: 4_096,
-            max_body_bytes: 4 * 1_024 * 1_024,
+            max_connections,
+            memory_bytes: Self::default_memory_bytes(max_connections, max_body_bytes),
+            max_body_bytes,
             max_header_bytes: 16 * 1_024,
             header_timeout_ms: 10_000,
             progress_timeout_ms: 30_000,
@@ -213,19 +241,24 @@
 fn read_limits(section: Section<'_>) -> Result<Limits> {
     section.expect_keys(&[
         "max_connections",
+        "memory_mb",
         "max_body_bytes",
         "max_header_bytes",
         "header_timeout_ms",
         "progress_timeout_ms",
     ])?;
     let default = Limits::default();
+    let max_connections = section
+        .optional("max_connections", COUNT)?
+        .unwrap_or(default.max_connections);
+    let max_body_bytes = section
+        .optional("max_body_bytes", BYTES)?
+        .unwrap_or(default.max_body_bytes);
     Ok(Limits {
-        max_connections: section
-            .optional("max_connections", COUNT)?
-            .unwrap_or(default.max_connections),
-        max_body_bytes: section
-            .optional("max_body_bytes", BYTES)?
-            .unwrap_or(default.max_body_bytes),
+        max_connections,
+        memory_bytes: read_memory(section, max_body_bytes)?
+            .unwrap_or_else(|| Limits::default_memory_bytes(max_connections, max_body_bytes)),
+        max_body_bytes,
         max_header_bytes: section
             .optional("max_header_bytes", BYTES)?
             .unwrap_or(default.max_header_bytes),
@@ -238,6 +271,20 @@
     })
 }
 
+fn read_memory(section: Section<'_>, max_body_bytes: usize) -> Result<Option<usize>> {
+    let Some(megabytes) = section.optional::<usize>("memory_mb", MEGABYTES)? else {
+        return Ok(None);
+    };
+    let bytes = megabytes.saturating_mul(MEGABYTE);
+    let min_bytes = Limits::min_memory_bytes(max_body_bytes);
+    if bytes < min_bytes {
+        let min_mb = min_bytes.div_ceil(MEGABYTE);
+        let detail = format!("expected at least {min_mb} for bodies of {max_body_bytes} bytes");
+        return Err(section.error(Code::SettingsBadValue, "memory_mb", &detail));
+    }
+    Ok(Some(bytes))
+}
+
 fn read_policy(section: Section<'_>) -> Result<Policy> {
     section.expect_keys(&[
         "routing",
--- a/crates/yucca-io/tests/settings.rs
+++ b/crates/yucca-io/tests/settings.rs
@@ -20,6 +20,7 @@
 
 [limits]
 max_connections = 4096
+memory_mb = 700
 header_timeout_ms = 10000
 
 [policy]
@@ -54,6 +55,18 @@
             4003,
             &["[limits] max_connections", "whole number", "many"],
         ),
+        (
+            "= 700",
+            "= 700 MB",
+            4003,
+            &["[limits] memory_mb", "megabytes", "700 MB"],
+        ),
+        (
+            "= 700",
+            "= 50",
+            4003,
+            &["[limits] memory_mb", "at least 51", "4194304 bytes"],
+        ),
         (
             "= scored",
             "= best",
@@ -106,3 +119,25 @@
         }
     }
 }
+
+/// Guards against a default that is too small for the connections and bodies that the other limits allow.
+#[test]
+fn parse_memory_default() {
+    // Maximum number of connections, largest body, and the least memory.
+    let cases = [
+        (256, 4_194_304, 85),
+        (4_096, 4_194_304, 670),
+        (4_096, 41_943_040, 1_100),
+    ];
+    for (max_connections, max_body_bytes, least_mb) in cases {
+        let limits =
+            format!("max_connections = {max_connections}\nmax_body_bytes = {max_body_bytes}\n");
+        let text = VALID.replace("max_connections = 4096\nmemory_mb = 700\n", &limits);
+        let settings = Settings::parse("fleet.ini", &text).expect("valid settings");
+        let memory_mb = settings.limits.memory_bytes / 1_000_000;
+        assert!(
+            memory_mb >= least_mb && memory_mb < least_mb + 40,
+            "{memory_mb} MB"
+        );
+    }
+}
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -64,15 +64,44 @@
 /// Fingerprint of a request's method, path and body. A repeated request must have the same
 /// fingerprint as the first.
 pub fn fingerprint(method: &str, path: &str, body: &[u8]) -> String {
-    hex(&hash16(&[method.as_bytes(), path.as_bytes(), body]))
+    fingerprint_of_segments(method, path, &[body])
+}
+
+/// As [`fingerprint`], of a body in segments.
+///
+/// ```
+/// use yuccacove::claim::{fingerprint, fingerprint_of_segments};
+///
+/// let segmented = fingerprint_of_segments("POST", "/orders", &["be", "am"]);
+/// assert_eq!(segmented, fingerprint("POST", "/orders", b"beam"));
+/// ```
+pub fn fingerprint_of_segments<S: AsRef<[u8]>>(method: &str, path: &str, body: &[S]) -> String {
+    let mut hasher = blake3::Hasher::new();
+    for part in [method.as_bytes(), path.as_bytes()] {
+        update_with_length(&mut hasher, part);
+    }
+    let len: usize = body.iter().map(|segment| segment.as_ref().len()).sum();
+    hasher.update(&(len as u64).to_be_bytes());
+    for segment in body {
+        hasher.update(segment.as_ref());
+    }
+    hex(&first16(&hasher))
 }
 
 fn hash16(parts: &[&[u8]]) -> [u8; 16] {
     let mut hasher = blake3::Hasher::new();
     for part in parts {
-        hasher.update(&(part.len() as u64).to_be_bytes());
-        hasher.update(part);
+        update_with_length(&mut hasher, part);
     }
+    first16(&hasher)
+}
+
+fn update_with_length(hasher: &mut blake3::Hasher, part: &[u8]) {
+    hasher.update(&(part.len() as u64).to_be_bytes());
+    hasher.update(part);
+}
+
+fn first16(hasher: &blake3::Hasher) -> [u8; 16] {
     let mut hash = [0; 16];
     hash.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
     hash
