Test that unread responses do not keep yucca-entry's memory

Two callers that do not read responses of 14.5 MB fill the memory of responses. The case shows that one of them is closed for a third caller, and that the memory is released. Smaller responses are taken by the kernel's buffers on loopback, so that nothing is held. Without closing by memory the third caller is never served within the limit (progress timeout 30 s, limit of the test 20 s; not run).

The doc example of count_values had one backslash too many and failed.

--- a/crates/yucca-entry/src/chat_memory.rs
+++ b/crates/yucca-entry/src/chat_memory.rs
@@ -43,7 +43,7 @@
 /// ```
 /// use yucca_entry::chat_memory::count_values;
 ///
-/// assert_eq!(count_values(&[r#"[1, 2, {"a": "#, r#""commas, and \\", in strings"}]"#]), 6);
+/// assert_eq!(count_values(&[r#"[1, 2, {"a": "#, r#""commas, and \", in strings"}]"#]), 6);
 /// ```
 pub fn count_values<S: AsRef<[u8]>>(segments: &[S]) -> usize {
     let mut count = 1;
--- a/crates/yucca-entry/tests/memory.rs
+++ b/crates/yucca-entry/tests/memory.rs
@@ -4,7 +4,7 @@
 
 use common::{Fake, FakeStore, Running, chat_body, engine, plain, stream};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{Duration, Instant, sleep, timeout};
 
 const LIMIT: Duration = Duration::from_secs(20);
@@ -123,6 +123,43 @@
     common::until("released memory", || metric(&daemon, response) == 0).await;
 }
 
+/// Guards against responses that callers do not read and that keep the memory from other responses.
+#[tokio::test]
+async fn read_served_beside_unread_responses() {
+    // More than the kernel buffers for a connection, and so much that two fill the memory of responses.
+    const RESPONSE_BYTES: usize = 14_500_000;
+    const HELD_BYTES: u64 = 2 * RESPONSE_BYTES as u64;
+    let desk = Fake::spawn(|_, c| plain(c, 200, &"x".repeat(RESPONSE_BYTES))).await;
+    let store = FakeStore::with_catalogue(&[], &[&desk]).await;
+    let daemon = store.daemon("memory_mb = 64").await;
+    let mut held = Vec::new();
+    for _ in 0..2 {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(4_096).unwrap();
+        let mut caller = socket.connect(daemon.address).await.unwrap();
+        let request = "GET /stock HTTP/1.1\r\nHost: x\r\n\r\n";
+        caller.write_all(request.as_bytes()).await.unwrap();
+        held.push(caller);
+    }
+    let response = r#"yucca_entry_reserved_memory_bytes{purpose="response"}"#;
+    common::until("held responses", || metric(&daemon, response) >= HELD_BYTES).await;
+    let served = async {
+        loop {
+            let reply = daemon.call("GET", "/stock", &[], "").await;
+            if reply.status == 200 {
+                return;
+            }
+            assert_eq!(reply.problem(), (3003, "unknown".to_owned()), "{reply:?}");
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    timeout(LIMIT, served).await.unwrap();
+    let closed = r#"yucca_entry_closed_connections_total{reason="memory"}"#;
+    assert!(metric(&daemon, closed) > 0);
+    drop(held);
+    common::until("released memory", || metric(&daemon, response) == 0).await;
+}
+
 /// Guards against the text of a response that exceeds the memory, and against events that do.
 #[tokio::test]
 async fn chat_of_response_larger_than_memory() {
