--- a/src/fair_shares.rs
+++ b/src/fair_shares.rs
@@ -97,6 +97,11 @@
         self.served += f64::from(u8::from(is_served));
     }
 
+    /// Counts one of the served requests as not served.
+    fn retract(&mut self) {
+        self.served = (self.served - 1.0).max(0.0);
+    }
+
     fn scale(&mut self, factor: f64) {
         self.asked *= factor;
         self.served *= factor;
@@ -221,6 +226,23 @@
         }
     }
 
+    /// Records that an admitted request did not run after all, because there was no room for it.
+    pub fn retract(&mut self, asker: &Asker, work_ms: f64, now_ms: u64) {
+        self.decay(now_ms);
+        self.all.retract();
+        if let Some(kind) = self.kinds.get_mut(&asker.kind) {
+            let size = kind.size(asker.tokens);
+            kind.requests.retract();
+            kind.sizes[size as usize].retract();
+        }
+        let organisation = asker.organisation;
+        let account = organisation.and_then(|o| self.organisations.get_mut(&o));
+        if let Some(account) = account {
+            account.requests.retract();
+            account.admitted_ms = (account.admitted_ms - work_ms).max(0.0);
+        }
+    }
+
     /// Returns how a request is to be treated.
     pub fn standing(&mut self, asker: &Asker, now_ms: u64) -> Standing {
         self.decay(now_ms);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod passive_health;
 pub mod phase_split;
 pub mod placement;
+pub mod plain_load;
 pub mod prefix;
 pub mod prompt_placement;
 pub mod rank;
--- a/src/overload.rs
+++ b/src/overload.rs
@@ -62,6 +62,34 @@
 /// Time in which the numbers of admitted and refused requests decay to half.
 const HALF_LIFE_MS: f64 = 1_000.0;
 
+/// Longest time for which a plain request is held, as a multiple of its target. Its caller can return
+/// several times within its deadline.
+const MAX_PLAIN_HOLD_FACTOR: f64 = 1.5;
+/// Longest time for which a plain request without a target is held.
+const MAX_PLAIN_HOLD_MS: u64 = 300;
+
+/// How long requests of a service may be held.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum HoldLimit {
+    /// As [`Forecast::max_hold_ms`] says.
+    #[default]
+    Generation,
+    /// Briefly, for plain requests.
+    Plain,
+}
+
+impl HoldLimit {
+    /// Returns the longest time for which a request is held.
+    pub fn max_hold_ms(self, forecast: &Forecast) -> u64 {
+        let max_ms = forecast.max_hold_ms();
+        match self {
+            Self::Generation => max_ms,
+            Self::Plain if forecast.target_ms == 0 => max_ms.min(MAX_PLAIN_HOLD_MS),
+            Self::Plain => max_ms.min((forecast.target_ms as f64 * MAX_PLAIN_HOLD_FACTOR) as u64),
+        }
+    }
+}
+
 /// A request about which is decided.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Ask {
@@ -131,6 +159,7 @@
     pub shares: FairShares,
     /// Requests that are held.
     pub queue: HoldQueue,
+    hold_limit: HoldLimit,
     decayed_ms: u64,
     admitted: f64,
     refused: f64,
@@ -139,6 +168,24 @@
 }
 
 impl Overload {
+    /// Creates the state for a service.
+    pub fn new(hold_limit: HoldLimit) -> Self {
+        Self {
+            hold_limit,
+            ..Self::default()
+        }
+    }
+
+    /// Records that an admitted request was not run, because all back ends were full. Returns the time
+    /// after which its caller may retry.
+    pub fn retract(&mut self, ask: &Ask, now_ms: u64, random: u64) -> u64 {
+        self.decay(now_ms);
+        self.admitted = (self.admitted - 1.0).max(0.0);
+        self.refused += 1.0;
+        self.shares.retract(&ask.asker, ask.work_ms, now_ms);
+        self.retry_after_ms(&ask.forecast, random)
+    }
+
     /// Decides about a request. `random` is any random number; it spreads the retries of refused
     /// callers.
     pub fn decide(&mut self, ask: &Ask, now_ms: u64, random: u64) -> Decision {
@@ -200,7 +247,8 @@
             Some(_) => 0.0,
             None => self.queue.expected_wait_ms(precedence, now_ms),
         };
-        if forecast.elapsed_ms as f64 + wait_ms >= forecast.max_hold_ms() as f64 {
+        let max_hold_ms = self.hold_limit.max_hold_ms(forecast);
+        if forecast.elapsed_ms as f64 + wait_ms >= max_hold_ms as f64 {
             return self.refuse(ask, reason, random);
         }
         Decision::Hold { precedence, reason }
@@ -215,10 +263,16 @@
         (*usual_ms - allowed_ms) as u64
     }
 
-    /// Refuses a request. Its caller is to return when the queue has become short enough and those
-    /// that were refused shortly before have returned.
     fn refuse(&self, ask: &Ask, reason: Reason, random: u64) -> Decision {
-        let forecast = &ask.forecast;
+        Decision::Refuse {
+            retry_after_ms: self.retry_after_ms(&ask.forecast, random),
+            reason,
+        }
+    }
+
+    /// Returns the time after which the caller of a refused request is to return: when the queue has
+    /// become short enough and those that were refused shortly before have returned.
+    fn retry_after_ms(&self, forecast: &Forecast, random: u64) -> u64 {
         let excess_ms = forecast.prefill_queue_ms - forecast.tolerated_queue_ms();
         let earliest_ms = excess_ms.max(MIN_RETRY_MS);
         // Time in which this host admits as many requests as it has refused lately.
@@ -228,10 +282,7 @@
         let latest_ms = forecast.left_ms as f64 * MAX_RETRY_SHARE;
         let cap_ms = latest_ms * (1.0 - CAPPED_SPREAD * spread);
         let retry_after_ms = earliest_ms + backlog_ms.max(forecast.first_token_ms) * spread;
-        Decision::Refuse {
-            retry_after_ms: retry_after_ms.min(cap_ms) as u64,
-            reason,
-        }
+        retry_after_ms.min(cap_ms) as u64
     }
 
     fn decay(&mut self, now_ms: u64) {
