Decide about plain requests under overload where there are organisations

Plain requests went to back ends until these refused them, so that all organisations paid for the flood of one. With organisations in the configuration, crates/yucca-serve/src/plain_admission.rs now asks the decision for overload before the first attempt, and holds or refuses a request unsent. Durations measured across a pause of the process are not learned from. Without organisations nothing changes.

The shortest target of more urgent routes and the most urgent rank are now computed for plain routes too; for streams they are as before.

--- a/crates/yucca-serve/src/config.rs
+++ b/crates/yucca-serve/src/config.rs
@@ -30,27 +30,31 @@
             .max_by_key(|route| route.path_prefix.len())
     }
 
-    /// Returns the lowest urgency rank among the stream routes of a service; `None` if it has none.
-    pub fn most_urgent(&self, service: &str) -> Option<u8> {
-        let streams = self.routes.iter();
-        streams
-            .filter(|route| matches!(route.kind, RouteKind::Stream { .. }))
-            .filter(|route| route.services.iter().any(|s| s.service == service))
-            .map(|route| route.urgency)
-            .min()
+    /// Returns the lowest urgency rank among the routes of a service that are streams, or among those
+    /// that are not; `None` if it has none.
+    pub fn most_urgent(&self, service: &str, is_stream: bool) -> Option<u8> {
+        let routes = self.routes_of(service, is_stream);
+        routes.map(|route| route.urgency).min()
     }
 
-    /// Returns the shortest latency target among the stream routes of a service that are more
-    /// urgent than `urgency`, or `None` if there is none with a target.
-    pub fn urgent_target_ms(&self, service: &str, urgency: u8) -> Option<u64> {
-        let more_urgent = self.routes.iter().filter(|route| route.urgency < urgency);
-        more_urgent
-            .filter(|route| matches!(route.kind, RouteKind::Stream { .. }))
-            .filter(|route| route.services.iter().any(|s| s.service == service))
+    /// Returns the shortest latency target among the routes of a service, of the given kind as in
+    /// [`ServingConfig::most_urgent`], that are more urgent than `urgency`, or `None` if there is none
+    /// with a target.
+    pub fn urgent_target_ms(&self, service: &str, is_stream: bool, urgency: u8) -> Option<u64> {
+        let routes = self.routes_of(service, is_stream);
+        routes
+            .filter(|route| route.urgency < urgency)
             .map(|route| route.target_ms)
             .filter(|target_ms| *target_ms > 0)
             .min()
     }
+
+    fn routes_of(&self, service: &str, is_stream: bool) -> impl Iterator<Item = &Route> {
+        self.routes
+            .iter()
+            .filter(move |route| matches!(route.kind, RouteKind::Stream { .. }) == is_stream)
+            .filter(move |route| route.services.iter().any(|s| s.service == service))
+    }
 }
 
 /// Kind of a route's requests. It determines whether a request may run more than once.
--- a/crates/yucca-serve/src/held.rs
+++ b/crates/yucca-serve/src/held.rs
@@ -7,10 +7,11 @@
 use indexmap::IndexMap;
 use tokio::sync::Notify;
 use tokio::time::{Duration, sleep, timeout};
-use yuccacove::forecast;
+use yuccacove::forecast::{self, Forecast};
 use yuccacove::hold_queue::{Precedence, Ticket};
 use yuccacove::output_length::OutputLength;
-use yuccacove::overload::{Ask, Decision, Overload, Reason};
+use yuccacove::overload::{Ask, Decision, HoldLimit, Overload, Reason};
+use yuccacove::plain_load::PlainLoad;
 
 /// Interval at which the first held request is considered for admission again.
 const HOLD_INTERVAL: Duration = Duration::from_millis(25);
@@ -33,6 +34,7 @@
     /// Policy for all services; `None` to choose it by whether there are organisations.
     fixed: Option<AdmissionPolicy>,
     services: RefCell<IndexMap<String, Rc<ServiceOverload>>>,
+    plain: RefCell<IndexMap<String, Rc<PlainOverload>>>,
 }
 
 impl Overloads {
@@ -40,18 +42,14 @@
     pub fn new(policy: AdmissionPolicy) -> Self {
         Self {
             fixed: Some(policy),
-            services: RefCell::default(),
+            ..Self::default()
         }
     }
 
     /// Returns the state for a service. [`Overload`] decides only where organisations share the engines;
     /// without them its holds of urgent requests cost callers of small fleets more than they gain.
     pub fn service(&self, service: &str, has_organisations: bool) -> Rc<ServiceOverload> {
-        let policy = self.fixed.unwrap_or(if has_organisations {
-            AdmissionPolicy::Overload
-        } else {
-            AdmissionPolicy::Forecast
-        });
+        let policy = self.policy(has_organisations);
         let known = self.services.borrow().get(service).cloned();
         if let Some(known) = known.filter(|known| known.policy == policy) {
             return known;
@@ -64,12 +62,59 @@
         services.insert(service.to_owned(), Rc::clone(&added));
         added
     }
+
+    /// Returns the state for the plain requests to a service; `None` if [`Overload`] does not decide.
+    pub fn plain(&self, service: &str, has_organisations: bool) -> Option<Rc<PlainOverload>> {
+        if self.policy(has_organisations) == AdmissionPolicy::Forecast {
+            return None;
+        }
+        let mut plain = self.plain.borrow_mut();
+        if let Some(known) = plain.get(service) {
+            return Some(Rc::clone(known));
+        }
+        let added = Rc::new(PlainOverload::default());
+        plain.insert(service.to_owned(), Rc::clone(&added));
+        Some(added)
+    }
+
+    fn policy(&self, has_organisations: bool) -> AdmissionPolicy {
+        self.fixed.unwrap_or(if has_organisations {
+            AdmissionPolicy::Overload
+        } else {
+            AdmissionPolicy::Forecast
+        })
+    }
+}
+
+/// State of the decision for the plain requests to one service.
+#[derive(Debug)]
+pub struct PlainOverload {
+    /// The decision.
+    pub decisions: Rc<ServiceOverload>,
+    /// Load of the back ends.
+    pub load: RefCell<PlainLoad>,
+}
+
+impl Default for PlainOverload {
+    fn default() -> Self {
+        let decisions = ServiceOverload {
+            policy: AdmissionPolicy::Overload,
+            hold_limit: HoldLimit::Plain,
+            state: RefCell::new(Overload::new(HoldLimit::Plain)),
+            ..ServiceOverload::default()
+        };
+        Self {
+            decisions: Rc::new(decisions),
+            load: RefCell::default(),
+        }
+    }
 }
 
 /// State of the decision for one service.
 #[derive(Debug, Default)]
 pub struct ServiceOverload {
     policy: AdmissionPolicy,
+    hold_limit: HoldLimit,
     state: RefCell<Overload>,
     /// Notified when it is a held request's turn.
     turns: RefCell<BTreeMap<Ticket, Rc<Notify>>>,
@@ -85,6 +130,17 @@
         }
     }
 
+    /// Returns the longest time for which a request is held.
+    pub fn max_hold_ms(&self, forecast: &Forecast) -> u64 {
+        self.hold_limit.max_hold_ms(forecast)
+    }
+
+    /// Records that an admitted request was not run, because all back ends were full. Returns the time
+    /// after which its caller may retry.
+    pub fn retract(&self, ask: &Ask, now_ms: u64, random: u64) -> u64 {
+        self.state.borrow_mut().retract(ask, now_ms, random)
+    }
+
     /// Returns the number of organisations that are over their share.
     pub fn organisations_over(&self) -> usize {
         self.state.borrow().shares.organisations_over()
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod organisations;
 pub mod peers;
 pub mod plain;
+pub mod plain_admission;
 pub mod ports;
 mod prefill;
 pub mod recency;
--- a/crates/yucca-serve/src/plain.rs
+++ b/crates/yucca-serve/src/plain.rs
@@ -16,9 +16,10 @@
 use crate::loads::Reservation;
 use crate::memory::MemoryGuard;
 use crate::named_limits;
+use crate::plain_admission::{self, Admission};
 use crate::ports::{BackendResponse, Backends, CallFault, ResponseBody};
 use crate::reply::{Interrupted, Reply, ReplyData};
-use crate::serve::{Progress, RequestContext, Stage};
+use crate::serve::{Progress, RequestContext, RunState, Stage};
 
 /// Maximum size of a response that is read completely before it is forwarded, so that the request
 /// can be retried if the connection breaks within the response.
@@ -29,6 +30,12 @@
 pub async fn serve<B: Backends>(context: &RequestContext<B>) -> Reply {
     let mut failed_reply = None;
     let mut waited_ms = 0;
+    let admission = match plain_admission::admit(context).await {
+        Ok(admission) => admission,
+        Err(reply) => return *reply,
+    };
+    // Whether a back end refused the request because it was full.
+    let mut was_full = false;
     loop {
         let host = &context.host;
         let permission = crashes::permission(host, &context.crash_keys, waited_ms);
@@ -61,9 +68,12 @@
         }
         let attempts_before = context.attempts();
         let Some(key) = key.filter(|_| context.begin_attempt()) else {
-            return failed_reply.unwrap_or_else(|| context.refuse_unplaced());
+            return failed_reply
+                .or_else(|| refuse_full(context, admission.as_ref(), was_full))
+                .unwrap_or_else(|| context.refuse_unplaced());
         };
         named_limits::record_request(host, key);
+        let measured = admission.as_ref().map(|a| (a, a.begin_call(context, key)));
         let in_flight = InFlight::start(host, key, Reservation::Request);
         let state_before = context.run_state();
         context.set_may_have_run(true);
@@ -77,18 +87,18 @@
                 context.request.id, context.route.name, target.id, context.service, call.left_ms
             ),
         );
-        let (progress, outcome) = match host
-            .backends
-            .send_request(&target, &context.request, call)
-            .await
-        {
-            Ok(response) => {
-                named_limits::record_response(host, key, response.limit_per_s, sent_ms);
-                let memory = host.memory.guard(Purpose::Response);
-                (Progress::Head, read_response(response, memory).await)
+        let run = async {
+            let sent = host.backends.send_request(&target, &context.request, call);
+            match sent.await {
+                Ok(response) => {
+                    named_limits::record_response(host, key, response.limit_per_s, sent_ms);
+                    let memory = host.memory.guard(Purpose::Response);
+                    (Progress::Head, read_response(response, memory).await)
+                }
+                Err(fault) => (Progress::NoHead, Err(fault)),
             }
-            Err(fault) => (Progress::NoHead, Err(fault)),
         };
+        let ((progress, outcome), took_ms) = plain_admission::measure(run).await;
         match outcome {
             Ok(Outcome::Complete {
                 head,
@@ -100,6 +110,10 @@
                     crashes::record_sound(host, &context.crash_keys);
                 }
                 let is_good = !head.status.is_server_error();
+                if let (Some((admission, call)), Some(took_ms), true) = (measured, took_ms, is_good)
+                {
+                    admission.record_completion(context, &call, took_ms);
+                }
                 record_health(context, key, is_good);
                 let reply = Reply::complete(head, body);
                 if is_good || !context.route.kind.is_repeatable() {
@@ -117,6 +131,9 @@
                 if matches!(fault, CallFault::NotSent(_)) {
                     context.restore_attempts(attempts_before);
                 }
+                if let Some((admission, call)) = measured {
+                    was_full |= admission.record_fault(context, &call, &fault);
+                }
                 let may_repeat =
                     context.record_failure(key, Stage::Run, progress, &fault, state_before);
                 drop(in_flight);
@@ -125,6 +142,7 @@
                     crashes::record_fault(context, key, Stage::Run, progress, &fault).await;
                 if !may_repeat || !is_safe {
                     return failed_reply
+                        .or_else(|| refuse_full(context, admission.as_ref(), was_full))
                         .unwrap_or_else(|| context.refuse(Code::BackendUnreachable));
                 }
             }
@@ -132,6 +150,17 @@
     }
 }
 
+/// Refuses a request that full back ends have refused; `None` if that is not why it ends.
+fn refuse_full<B: Backends>(
+    context: &RequestContext<B>,
+    admission: Option<&Admission>,
+    was_full: bool,
+) -> Option<Reply> {
+    let admission = admission.filter(|_| was_full && context.run_state() == RunState::NotRun)?;
+    let retry_after_ms = admission.retract(context);
+    Some(context.refuse_with_retry_after(Code::NoBackend, retry_after_ms))
+}
+
 enum Outcome<B> {
     Complete {
         head: Parts,
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -131,8 +131,8 @@
     pub is_scaled: bool,
     /// Whether the request is of the most urgent kind of its service.
     pub is_most_urgent: bool,
-    /// Shortest latency target among the more urgent stream routes of the service; `None` if none
-    /// of them has a target.
+    /// Shortest latency target among the more urgent routes of the service, of streams or of plain
+    /// requests as this one is; `None` if none of them has a target.
     pub urgent_target_ms: Option<u64>,
     /// Time of receipt.
     pub received: Instant,
@@ -200,7 +200,8 @@
     ) -> Self {
         let spec = config.services.get(service);
         let engine = spec.and_then(|s| s.engine);
-        let most_urgent = config.most_urgent(service);
+        let is_stream = matches!(route.kind, RouteKind::Stream { .. });
+        let most_urgent = config.most_urgent(service, is_stream);
         let received = Instant::now();
         let left_ms = request.deadline_ms.unwrap_or(u64::MAX);
         let limit_ms = left_ms.min(route.timeout_ms);
@@ -213,7 +214,7 @@
             engine: engine.unwrap_or_default(),
             is_scaled: spec.is_some_and(|s| s.scaling.is_some()),
             is_most_urgent: most_urgent.is_none_or(|rank| route.urgency <= rank),
-            urgent_target_ms: config.urgent_target_ms(service, route.urgency),
+            urgent_target_ms: config.urgent_target_ms(service, is_stream, route.urgency),
             received,
             deadline: received + Duration::from_millis(limit_ms),
             crash_keys,
