Remove the records of back ends that are gone

The directory kept a record of each back end for ever, so that memory grew with each spot engine. A record is now removed 120 s after its entry, when no request of the host is in progress there, and not while the store is unavailable. Keys have a generation: one that outlives its record reads a placeholder, whose address no call reaches.

The planner of roles counts joins instead of records, as removals would look like new registrations, and forgets phase changes that are over.

The new tests use new functions and were not run on the code before.

--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -3,6 +3,9 @@
 //! A backend whose entry is removed or draining gets no new work. Entries can also expire while the
 //! store is unavailable. Backends whose entries are missing when it recovers therefore stay in use
 //! for as long as a live backend needs to register again.
+//!
+//! The record of a backend is removed some time after its entry. What remains of it recognises stale
+//! messages.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,6 +15,9 @@
 use yuccacove::passive_health::PassiveHealth;
 use yuccacove::prompt_placement::Phase;
 
+use crate::backend_arena::BackendArena;
+pub use crate::backend_arena::BackendKey;
+use crate::departed::{Arrival, Departed};
 use crate::hash::hash_of;
 use crate::loads::Load;
 use crate::ports::Target;
@@ -30,9 +36,12 @@
 /// time for which a draining backend goes on serving.
 const LAST_RESORT_MS: u64 = 1_200;
 
-/// Index of a backend in the [`Directory`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct BackendKey(usize);
+/// Time from the removal of a backend's entry after which its record may be removed. It is longer than
+/// a drain, the reuse of addresses and the time for which requests wait before they are sent. Records
+/// with requests in progress stay longer.
+pub const RETENTION_MS: u64 = 120_000;
+/// Interval at which records are removed.
+const REMOVAL_INTERVAL_MS: u64 = 1_000;
 
 /// The entry that a backend registers in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -95,9 +104,41 @@
     has_announced_leaving: bool,
     /// Time until which the backend wants no requests from this host.
     paused_until_ms: u64,
+    /// Time at which its entry was removed; `None` while it is listed.
+    unlisted_since_ms: Option<u64>,
 }
 
 impl Backend {
+    pub(crate) fn new(id: &str, revision: u64, entry: BackendEntry) -> Self {
+        Self {
+            target: Target {
+                id: Rc::from(id),
+                address: entry.address,
+            },
+            registration: if entry.is_draining {
+                Registration::Leaving { since_ms: 0 }
+            } else {
+                Registration::Serving
+            },
+            entry,
+            load: Load::default(),
+            health: PassiveHealth::default(),
+            id_hash: hash_of(id),
+            unavailable_until_ms: 0,
+            revision,
+            has_announced_leaving: false,
+            paused_until_ms: 0,
+            unlisted_since_ms: None,
+        }
+    }
+
+    /// Whether nothing refers to the record any more.
+    fn is_removable(&self, now_ms: u64) -> bool {
+        let since_ms = self.unlisted_since_ms;
+        let is_past = since_ms.is_some_and(|since_ms| now_ms >= since_ms + RETENTION_MS);
+        is_past && self.load.requests == 0 && !self.load.has_own_prefills()
+    }
+
     /// Returns the hash of the backend's id, which is the same on all hosts.
     pub fn id_hash(&self) -> u64 {
         self.id_hash
@@ -208,11 +249,16 @@
     Phase(BackendKey),
 }
 
-/// All backends that this process has ever known. Records are never removed, because requests in
-/// flight refer to them by their index.
+/// The known backends. A record is removed some time after its entry, so that memory stays bounded
+/// however many engines come and go.
 #[derive(Debug, Default)]
 pub struct Directory {
-    backends: Vec<Backend>,
+    backends: BackendArena,
+    /// Backends whose records were removed.
+    departed: Departed,
+    /// Number of records that were created.
+    joined: u64,
+    removed_ms: u64,
     by_id: IndexMap<String, BackendKey>,
     by_hash: IndexMap<u64, BackendKey>,
     /// Learned speeds of the engines of each service.
@@ -230,12 +276,12 @@
 impl Directory {
     /// Returns the backend with a key.
     pub fn get(&self, key: BackendKey) -> &Backend {
-        &self.backends[key.0]
+        self.backends.get(key)
     }
 
     /// Returns the backend with a key, mutably.
     pub fn get_mut(&mut self, key: BackendKey) -> &mut Backend {
-        &mut self.backends[key.0]
+        self.backends.get_mut(key)
     }
 
     /// Whether the hosts of an availability zone exchange load updates only with each other,
@@ -249,14 +295,19 @@
         in_zone.count() >= MIN_LOCAL_BACKENDS
     }
 
-    /// Returns the number of backends that were ever known.
+    /// Returns the number of backends with a record.
     pub fn len(&self) -> usize {
         self.backends.len()
     }
 
-    /// Whether no backend was ever known.
+    /// Whether no backend has a record.
     pub fn is_empty(&self) -> bool {
-        self.backends.is_empty()
+        self.backends.len() == 0
+    }
+
+    /// Returns the number of records that were created so far.
+    pub fn joined(&self) -> u64 {
+        self.joined
     }
 
     /// Iterates over all backends, mutably.
@@ -266,7 +317,7 @@
 
     /// Returns the keys of all backends.
     pub fn keys(&self) -> impl Iterator<Item = BackendKey> + use<> {
-        (0..self.backends.len()).map(BackendKey)
+        self.backends.keys().into_iter()
     }
 
     /// Returns the key of the backend with an id.
@@ -292,13 +343,13 @@
     ) {
         record(service_speed_mut(
             &mut self.speeds,
-            &self.backends[key.0].entry.service,
+            &self.backends.get(key).entry.service,
         ));
     }
 
     /// Records a remote prefill that an engine has completed.
     pub fn record_prefill(&mut self, key: BackendKey, sample: &PrefillSample, now_ms: u64) {
-        let backend = &mut self.backends[key.0];
+        let backend = self.backends.get_mut(key);
         let service = service_speed_mut(&mut self.speeds, &backend.entry.service);
         service.record_prefill(&mut backend.load.speed, sample, now_ms);
         backend.update_speeds(service, now_ms);
@@ -306,7 +357,7 @@
 
     /// Updates the speeds that forecasts use, which also change when there are no samples.
     pub fn update_speeds(&mut self, now_ms: u64) {
-        for backend in &mut self.backends {
+        for backend in self.backends.iter_mut() {
             if let Some(service) = self.speeds.get(&backend.entry.service) {
                 backend.update_speeds(service, now_ms);
             }
@@ -373,7 +424,7 @@
     /// removed within `entry_lapse_ms`.
     pub fn begin_era(&mut self, era: u64, entry_lapse_ms: u64, now_ms: u64) {
         self.entry_lapse_ms = entry_lapse_ms;
-        let is_restore = era > self.era && !self.backends.is_empty();
+        let is_restore = era > self.era && self.joined > 0;
         self.era = self.era.max(era);
         if is_restore {
             self.relist_until_ms = now_ms + RELIST_MS;
@@ -389,7 +440,7 @@
         now_ms: u64,
     ) -> Change {
         let Some(key) = self.find(id) else {
-            return self.join(id, revision, entry);
+            return self.join(id, revision, entry, now_ms);
         };
         let backend = self.get_mut(key);
         if backend.revision > revision {
@@ -406,6 +457,7 @@
         let is_restart = entry.started_ms != backend.entry.started_ms;
         let is_phase_change = entry.phase != backend.entry.phase;
         backend.revision = revision;
+        backend.unlisted_since_ms = None;
         backend.target.address = entry.address;
         let is_draining = entry.is_draining;
         backend.entry = entry;
@@ -454,7 +506,11 @@
             backend.registration,
             Registration::Serving | Registration::Copied { .. }
         );
-        if backend.revision > revision || !is_listed {
+        if backend.revision > revision {
+            return Change::None;
+        }
+        backend.unlisted_since_ms.get_or_insert(now_ms);
+        if !is_listed {
             return Change::None;
         }
         backend.revision = revision;
@@ -488,32 +544,50 @@
             .collect()
     }
 
-    fn join(&mut self, id: &str, revision: u64, entry: BackendEntry) -> Change {
+    fn join(&mut self, id: &str, revision: u64, entry: BackendEntry, now_ms: u64) -> Change {
+        let id_hash = hash_of(id);
+        let arrival = self.departed.arrive(id_hash, revision, entry.started_ms);
+        if arrival == Arrival::Stale {
+            return Change::None;
+        }
         let is_draining = entry.is_draining;
-        let backend = Backend {
-            target: Target {
-                id: Rc::from(id),
-                address: entry.address,
-            },
-            entry,
-            load: Load::default(),
-            health: PassiveHealth::default(),
-            id_hash: hash_of(id),
-            unavailable_until_ms: 0,
-            revision,
-            has_announced_leaving: false,
-            paused_until_ms: 0,
-            registration: if is_draining {
-                Registration::Leaving { since_ms: 0 }
-            } else {
-                Registration::Serving
-            },
-        };
-        let key = BackendKey(self.backends.len());
-        self.backends.push(backend);
+        let mut backend = Backend::new(id, revision, entry);
+        let is_copied = arrival == Arrival::Copied && !is_draining;
+        if is_copied {
+            let until_ms = now_ms + self.entry_lapse_ms;
+            backend.registration = Registration::Copied { until_ms };
+        }
+        let key = self.backends.insert(backend);
+        self.joined += 1;
         self.by_id.insert(id.to_owned(), key);
-        self.by_hash.insert(hash_of(id), key);
-        Change::Joined(key)
+        self.by_hash.insert(id_hash, key);
+        if is_copied {
+            Change::None
+        } else {
+            Change::Joined(key)
+        }
+    }
+
+    /// Removes the records of the backends that have left long ago. While the store does not answer
+    /// they are kept, because its entries may be those that are missing.
+    pub fn remove_departed(&mut self, now_ms: u64) {
+        let is_due = now_ms >= self.removed_ms + REMOVAL_INTERVAL_MS;
+        if !is_due || self.store_unavailable_since_ms.is_some() {
+            return;
+        }
+        self.removed_ms = now_ms;
+        for key in self.backends.keys() {
+            if !self.backends.get(key).is_removable(now_ms) {
+                continue;
+            }
+            if let Some(backend) = self.backends.remove(key) {
+                let started_ms = backend.entry.started_ms;
+                let revision = backend.revision;
+                self.departed.record(backend.id_hash, revision, started_ms);
+                self.by_id.shift_remove(&*backend.target.id);
+                self.by_hash.shift_remove(&backend.id_hash);
+            }
+        }
     }
 }
 
--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -241,6 +241,7 @@
     for change in changes {
         log_change(host, change, objects.revision);
     }
+    host.directory.borrow_mut().remove_departed(now_ms);
 }
 
 fn apply_backend<B, S: ObjectStore>(
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -23,6 +23,7 @@
 //! ```
 
 mod authentication;
+mod backend_arena;
 pub mod body_buffer;
 pub mod boot_clock;
 pub mod caller_body;
@@ -32,6 +33,7 @@
 pub mod connections;
 pub mod crashes;
 pub mod demand;
+mod departed;
 pub mod directory;
 mod engine_reports;
 pub mod events;
--- a/crates/yucca-serve/src/loads.rs
+++ b/crates/yucca-serve/src/loads.rs
@@ -338,6 +338,12 @@
         }
     }
 
+    /// Whether a prefill of this host has not ended.
+    pub fn has_own_prefills(&self) -> bool {
+        let mut outstanding = self.outstanding.iter();
+        outstanding.any(|p| matches!(p.source, PrefillSource::Own(_)))
+    }
+
     /// Resets the state that a restart of the backend invalidates. Requests of this host that are
     /// still in flight stay counted until they end.
     pub fn reset(&mut self) {
--- a/crates/yucca-serve/src/roles.rs
+++ b/crates/yucca-serve/src/roles.rs
@@ -298,6 +298,11 @@
         self.until_ms.insert(key, (until_ms, phase));
     }
 
+    /// Forgets the changes that are over, also of engines that have left.
+    fn expire(&mut self, now_ms: u64) {
+        self.until_ms.retain(|_, (until_ms, _)| now_ms < *until_ms);
+    }
+
     /// Returns the phase to which an engine is changing, if any.
     fn phase(&mut self, key: BackendKey, now_ms: u64) -> Option<Phase> {
         let (until_ms, phase) = *self.until_ms.get(&key)?;
@@ -313,7 +318,7 @@
 pub async fn plan_roles<B: Backends>(host: Rc<Host<B>>, lease: Rc<RoleLease>) {
     let mut pending = PendingChanges::default();
     let mut losses = SpotLosses::default();
-    // Number of known backends, and the time at which it last changed.
+    // Number of backends that joined, and the time at which it last changed.
     let mut listed = (0, 0);
     loop {
         sleep(PLAN_INTERVAL).await;
@@ -321,7 +326,7 @@
         observe_demand(&host);
         lease.set_hosts(host.host_count());
         // While engines are still registering, a split of the few known ones would be wrong.
-        let backends = host.directory.borrow().len();
+        let backends = host.directory.borrow().joined();
         if listed.0 != backends {
             listed = (backends, now_ms);
         }
@@ -453,6 +458,7 @@
     pending: &mut PendingChanges,
 ) -> (Vec<BackendKey>, Vec<Member>) {
     let now_ms = host.now_ms();
+    pending.expire(now_ms);
     let directory = host.directory.borrow();
     let keys = directory.usable(service, now_ms);
     let mut zones: Vec<&str> = Vec::new();
--- a/crates/yucca-serve/tests/directory.rs
+++ b/crates/yucca-serve/tests/directory.rs
@@ -4,8 +4,9 @@
 mod common;
 
 use common::entry;
-use yucca_serve::directory::{BackendEntry, Change, Directory, RELIST_MS};
-use yucca_serve::loads::PrefillSource;
+use yucca_serve::directory::{BackendEntry, Change, Directory, RELIST_MS, RETENTION_MS};
+use yucca_serve::loads::{PrefillSource, Reservation};
+use yucca_serve::revision::revision;
 use yuccacove::prompt_placement::Phase;
 
 fn desk() -> BackendEntry {
@@ -169,3 +170,124 @@
         assert_eq!(taken_back, usize::from(leaves_ms.is_some()));
     }
 }
+
+/// Returns a directory in which the record of "i-1" was removed at the returned time.
+fn with_departed() -> (Directory, u64) {
+    let mut directory = with(&["i-1", "i-2"]);
+    directory.apply_entry("i-1", 5, draining(), 100);
+    directory.apply_removal("i-1", 6, 2_000);
+    let now_ms = 2_000 + RETENTION_MS;
+    directory.remove_departed(now_ms - 1);
+    assert_eq!(directory.len(), 2);
+    directory.remove_departed(now_ms + 1_000);
+    assert_eq!((directory.len(), directory.find("i-1")), (1, None));
+    (directory, now_ms + 1_000)
+}
+
+/// A stale list or relay message must not bring a back end back whose record was removed.
+#[test]
+fn remove_departed_stale_entry() {
+    let (mut directory, now_ms) = with_departed();
+    for (revision, entry) in [(1, desk()), (5, draining())] {
+        let change = directory.apply_entry("i-1", revision, entry, now_ms);
+        assert_eq!(change, Change::None);
+    }
+    directory.apply_full_listing(&["i-1", "i-2"], 3, now_ms);
+    assert_eq!(usable(&directory, now_ms), ["i-2"]);
+    assert_eq!(directory.len(), 1);
+}
+
+/// A back end that registers again under the same id, as after a restart, must serve at once.
+#[test]
+fn remove_departed_registers_again() {
+    let (mut directory, now_ms) = with_departed();
+    let restarted = BackendEntry {
+        started_ms: 2,
+        ..desk()
+    };
+    let change = directory.apply_entry("i-1", 7, restarted, now_ms);
+    assert!(matches!(change, Change::Joined(_)));
+    assert_eq!(usable(&directory, now_ms), ["i-2", "i-1"]);
+}
+
+/// Guards against a back end that has left and that a restored copy of the store still lists.
+#[test]
+fn remove_departed_restored_store() {
+    let (mut directory, now_ms) = with_departed();
+    directory.begin_era(1, 5_600, now_ms);
+    let change = directory.apply_entry("i-1", revision(1, 3), desk(), now_ms);
+    assert_eq!(change, Change::None);
+    assert_eq!(usable(&directory, now_ms + 5_000), ["i-2"]);
+    // An entry that changes after the restore is its own.
+    let change = directory.apply_entry("i-1", revision(1, 9), desk(), now_ms + 5_000);
+    assert!(matches!(change, Change::Joined(_)));
+}
+
+/// Guards against a request whose end is counted at another back end, or not at all, because the record
+/// of its own was removed meanwhile.
+#[test]
+fn remove_departed_requests_in_progress() {
+    let mut directory = with(&["i-1", "i-2"]);
+    let key = directory.find("i-1").expect("listed");
+    directory
+        .get_mut(key)
+        .load
+        .add(Reservation::Generation { tokens: 700 });
+    directory.apply_removal("i-1", 2, 100);
+    directory.remove_departed(10 * RETENTION_MS);
+    assert_eq!(&*directory.get(key).target.id, "i-1");
+    directory
+        .get_mut(key)
+        .load
+        .remove(Reservation::Generation { tokens: 700 });
+    directory.remove_departed(11 * RETENTION_MS);
+    assert_eq!(directory.len(), 1);
+    // Another back end takes the place. The key of a request that was not sent yet is not its key.
+    directory.apply_entry("i-3", 3, desk(), 11 * RETENTION_MS);
+    let added = directory.find("i-3").expect("listed");
+    assert_ne!(added, key);
+    directory.get_mut(key).load.add(Reservation::Request);
+    assert_eq!(directory.get(added).load.requests, 0);
+    assert_ne!(directory.get(key).target.address, desk().address);
+}
+
+/// Entries may be missing because the store does not answer.
+#[test]
+fn remove_departed_store_unavailable() {
+    let mut directory = with(&["i-1", "i-2"]);
+    directory.apply_removal("i-1", 2, 100);
+    directory.record_store_failure(200);
+    directory.remove_departed(2 * RETENTION_MS);
+    assert_eq!(directory.len(), 2);
+    directory.record_store_response(2 * RETENTION_MS);
+    directory.remove_departed(2 * RETENTION_MS + 1_000);
+    assert_eq!(directory.len(), 1);
+}
+
+/// Guards against memory that grows with each engine that comes and goes.
+#[test]
+fn remove_departed_spot_engines() {
+    let mut directory = with(&["i-1", "i-2"]);
+    let mut most = 0;
+    let mut revision = 2;
+    for engine in 0..10_000_u64 {
+        let id = format!("spot-{engine}");
+        let now_ms = engine * 8_000;
+        revision += 1;
+        directory.apply_entry(&id, revision, desk(), now_ms);
+        let key = directory.find(&id).expect("listed");
+        directory
+            .get_mut(key)
+            .load
+            .record_cached(&[(engine, 500)], now_ms);
+        directory.apply_entry(&id, revision + 1, draining(), now_ms + 4_000);
+        directory.apply_removal(&id, revision + 2, now_ms + 6_000);
+        revision += 2;
+        directory.remove_departed(now_ms + 6_000);
+        most = most.max(directory.len());
+        assert_eq!(directory.keys().count(), directory.len());
+    }
+    assert!(most <= 20, "{most} records");
+    assert_eq!(directory.joined(), 10_002);
+    assert_eq!(usable(&directory, 80_010_000), ["i-1", "i-2"]);
+}
--- a/crates/yucca-serve/tests/follow.rs
+++ b/crates/yucca-serve/tests/follow.rs
@@ -8,6 +8,7 @@
 use common::{FakeStore, StoreMode, host, run_virtual, wait_ms};
 use serde_json::json;
 use tokio::task::spawn_local;
+use yucca_serve::directory::RETENTION_MS;
 use yucca_serve::follow::{StoreHealth, follow_backends, follow_config, probe_store};
 use yucca_serve::host::Host;
 use yucca_serve::ports::Kind;
@@ -229,3 +230,29 @@
         assert_eq!(usable(&host), 1);
     });
 }
+
+/// Guards against memory that grows with each back end that was ever listed, and against records that are
+/// removed while the store is away.
+#[test]
+fn follow_backends_removes_records() {
+    run_virtual(async {
+        let store = FakeStore::new();
+        for number in 0..20 {
+            put_backend(&store, &format!("desk-{number}"), false);
+        }
+        let host = follow(&store);
+        wait_ms(2_000).await;
+        for number in 1..20 {
+            store.put(Kind::BackEnds, &format!("desk-{number}"), None);
+        }
+        wait_ms(2_000).await;
+        store.set_mode(StoreMode::Refusing);
+        wait_ms(RETENTION_MS).await;
+        assert_eq!(host.directory.borrow().len(), 20);
+        store.set_mode(StoreMode::Up);
+        put_backend(&store, "desk-20", false);
+        wait_ms(RECOVERY_MS).await;
+        assert_eq!(host.directory.borrow().len(), 2);
+        assert_eq!(usable(&host), 2);
+    });
+}
