Scale plain services like model services

Services with scaling and without engines were left as they are, because their demand was not known. Hosts now learn the service times of their plain requests and report the time of slots that the requests of a second need, also of refused ones. Back ends are assumed to run 6 requests at a time, which no configuration says; where they run fewer, full queues raise the demand.

Before, no order was given: scaled_services left such services out.

--- a/crates/yucca-serve/src/held.rs
+++ b/crates/yucca-serve/src/held.rs
@@ -65,16 +65,19 @@
 
     /// Returns the state for the plain requests to a service; `None` if [`Overload`] does not decide.
     pub fn plain(&self, service: &str, has_organisations: bool) -> Option<Rc<PlainOverload>> {
-        if self.policy(has_organisations) == AdmissionPolicy::Forecast {
-            return None;
-        }
+        let decides = self.policy(has_organisations) == AdmissionPolicy::Overload;
+        decides.then(|| self.plain_state(service))
+    }
+
+    /// Returns the state for the plain requests to a service, whether or not [`Overload`] decides.
+    pub fn plain_state(&self, service: &str) -> Rc<PlainOverload> {
         let mut plain = self.plain.borrow_mut();
         if let Some(known) = plain.get(service) {
-            return Some(Rc::clone(known));
+            return Rc::clone(known);
         }
         let added = Rc::new(PlainOverload::default());
         plain.insert(service.to_owned(), Rc::clone(&added));
-        Some(added)
+        added
     }
 
     fn policy(&self, has_organisations: bool) -> AdmissionPolicy {
--- a/crates/yucca-serve/src/plain.rs
+++ b/crates/yucca-serve/src/plain.rs
@@ -16,7 +16,7 @@
 use crate::loads::Reservation;
 use crate::memory::MemoryGuard;
 use crate::named_limits;
-use crate::plain_admission::{self, Admission};
+use crate::plain_admission::{self, Admission, Measurement};
 use crate::ports::{BackendResponse, Backends, CallFault, ResponseBody};
 use crate::reply::{Interrupted, Reply, ReplyData};
 use crate::serve::{Progress, RequestContext, RunState, Stage};
@@ -30,6 +30,7 @@
 pub async fn serve<B: Backends>(context: &RequestContext<B>) -> Reply {
     let mut failed_reply = None;
     let mut waited_ms = 0;
+    let measurement = Measurement::begin(context);
     let admission = match plain_admission::admit(context).await {
         Ok(admission) => admission,
         Err(reply) => return *reply,
@@ -73,7 +74,9 @@
                 .unwrap_or_else(|| context.refuse_unplaced());
         };
         named_limits::record_request(host, key);
-        let measured = admission.as_ref().map(|a| (a, a.begin_call(context, key)));
+        let measured = measurement
+            .as_ref()
+            .map(|measurement| (measurement, measurement.begin_call(context, key)));
         let in_flight = InFlight::start(host, key, Reservation::Request);
         let state_before = context.run_state();
         context.set_may_have_run(true);
@@ -110,9 +113,10 @@
                     crashes::record_sound(host, &context.crash_keys);
                 }
                 let is_good = !head.status.is_server_error();
-                if let (Some((admission, call)), Some(took_ms), true) = (measured, took_ms, is_good)
+                if let (Some((measurement, call)), Some(took_ms), true) =
+                    (measured, took_ms, is_good)
                 {
-                    admission.record_completion(context, &call, took_ms);
+                    measurement.record_completion(context, &call, took_ms);
                 }
                 record_health(context, key, is_good);
                 let reply = Reply::complete(head, body);
@@ -131,8 +135,8 @@
                 if matches!(fault, CallFault::NotSent(_)) {
                     context.restore_attempts(attempts_before);
                 }
-                if let Some((admission, call)) = measured {
-                    was_full |= admission.record_fault(context, &call, &fault);
+                if let Some((measurement, call)) = measured {
+                    was_full |= measurement.record_fault(context, &call, &fault);
                 }
                 let may_repeat =
                     context.record_failure(key, Stage::Run, progress, &fault, state_before);
--- a/crates/yucca-serve/src/plain_admission.rs
+++ b/crates/yucca-serve/src/plain_admission.rs
@@ -14,6 +14,7 @@
 use yuccacove::plain_load::{Completion, InProgress, PlainRequest};
 
 use crate::choose;
+use crate::config::EngineSpec;
 use crate::directory::BackendKey;
 use crate::hash::hash_of;
 use crate::held::{Held, PlainOverload};
@@ -35,10 +36,17 @@
 /// A plain request for which the decision for overload was made.
 #[derive(Debug)]
 pub struct Admission {
-    overload: Rc<PlainOverload>,
+    state: Rc<PlainOverload>,
     ask: Ask,
 }
 
+/// Measures the calls of a request, for the decision for overload and for the demand.
+#[derive(Debug)]
+pub struct Measurement {
+    state: Rc<PlainOverload>,
+    kind: u64,
+}
+
 /// A call whose duration is measured.
 #[derive(Debug, Clone, Copy)]
 pub struct MeasuredCall {
@@ -53,7 +61,7 @@
 ) -> Result<Option<Admission>, Box<Reply>> {
     let host = &context.host;
     let has_organisations = host.has_organisations();
-    let Some(overload) = host.overloads.plain(&context.service, has_organisations) else {
+    let Some(state) = host.overloads.plain(&context.service, has_organisations) else {
         return Ok(None);
     };
     let mut held: Option<Held> = None;
@@ -65,18 +73,18 @@
         let Some(key) = choose_backend(context) else {
             return Ok(None);
         };
-        let ask = ask(context, &overload, key, held.as_ref());
-        match overload.decisions.decide(&ask, host.now_ms(), host.draw()) {
-            Decision::Admit => return Ok(Some(Admission { overload, ask })),
+        let ask = ask(context, &state, key, held.as_ref());
+        match state.decisions.decide(&ask, host.now_ms(), host.draw()) {
+            Decision::Admit => return Ok(Some(Admission { state, ask })),
             Decision::Hold { precedence, reason } => {
                 let held = held.get_or_insert_with(|| {
                     host.metrics.record_hold(reason);
-                    let fields = inputs(&overload, &ask, reason);
+                    let fields = inputs(&state, &ask, reason);
                     let (id, route) = (&context.request.id, &context.route.name);
                     log::write(Event::Held, &format!("request={id} route={route} {fields}"));
-                    Held::enter(&overload.decisions, precedence)
+                    Held::enter(&state.decisions, precedence)
                 });
-                let max_hold_ms = overload.decisions.max_hold_ms(&ask.forecast);
+                let max_hold_ms = state.decisions.max_hold_ms(&ask.forecast);
                 let left_ms = max_hold_ms.saturating_sub(ask.forecast.elapsed_ms);
                 held.wait(Duration::from_millis(left_ms)).await;
             }
@@ -85,7 +93,7 @@
                 reason,
             } => {
                 host.metrics.record_overload(reason);
-                let cause = format!(" {}", inputs(&overload, &ask, reason));
+                let cause = format!(" {}", inputs(&state, &ask, reason));
                 let reply = context.refuse_overloaded(retry_after_ms, &cause);
                 return Err(Box::new(reply));
             }
@@ -94,6 +102,37 @@
 }
 
 impl Admission {
+    /// Records that the request found all back ends full, so that it counts as refused. Returns the time
+    /// after which its caller may retry.
+    pub fn retract<B: Backends>(&self, context: &RequestContext<B>) -> u64 {
+        let host = &context.host;
+        let mut ask = self.ask;
+        ask.forecast.left_ms = context.left_ms();
+        let decisions = &self.state.decisions;
+        decisions.retract(&ask, host.now_ms(), host.draw())
+    }
+}
+
+impl Measurement {
+    /// Begins the measurement of a request's calls, and counts it towards the demand; `None` where
+    /// neither is of use.
+    pub fn begin<B: Backends>(context: &RequestContext<B>) -> Option<Self> {
+        let host = &context.host;
+        let overloads = &host.overloads;
+        let is_scaled = context.is_scaled && context.engine == EngineSpec::default();
+        let decides = overloads.plain(&context.service, host.has_organisations());
+        if !is_scaled && decides.is_none() {
+            return None;
+        }
+        let state = overloads.plain_state(&context.service);
+        let kind = hash_of(&context.route.name);
+        if is_scaled {
+            let service_ms = state.load.borrow().service_ms(kind, host.now_ms());
+            context.count_demand(service_ms.unwrap_or(0.0));
+        }
+        Some(Self { state, kind })
+    }
+
     /// Returns what the measurement of a call to a back end needs from before the call.
     pub fn begin_call<B>(&self, context: &RequestContext<B>, key: BackendKey) -> MeasuredCall {
         MeasuredCall {
@@ -110,12 +149,12 @@
         took_ms: f64,
     ) {
         let completion = Completion {
-            kind: self.ask.asker.kind,
+            kind: self.kind,
             backend: call.backend,
             in_progress: call.in_progress,
             took_ms,
         };
-        let mut load = self.overload.load.borrow_mut();
+        let mut load = self.state.load.borrow_mut();
         load.record_completion(&completion, context.host.now_ms());
     }
 
@@ -131,22 +170,12 @@
                 status: FULL_STATUS,
             });
         if is_full {
-            let mut load = self.overload.load.borrow_mut();
+            let mut load = self.state.load.borrow_mut();
             let in_progress = call.in_progress.service;
             load.record_refusal(call.backend, in_progress, context.host.now_ms());
         }
         is_full
     }
-
-    /// Records that the request found all back ends full, so that it counts as refused. Returns the time
-    /// after which its caller may retry.
-    pub fn retract<B: Backends>(&self, context: &RequestContext<B>) -> u64 {
-        let host = &context.host;
-        let mut ask = self.ask;
-        ask.forecast.left_ms = context.left_ms();
-        let decisions = &self.overload.decisions;
-        decisions.retract(&ask, host.now_ms(), host.draw())
-    }
 }
 
 /// Runs a call and measures its duration in milliseconds; `None` if the process was paused meanwhile.
--- a/crates/yucca-serve/src/scaling.rs
+++ b/crates/yucca-serve/src/scaling.rs
@@ -10,7 +10,7 @@
 use indexmap::IndexMap;
 use tokio::time::{Duration, sleep};
 use yucca_io::log;
-use yuccacove::engine_demand::{DemandSample, EngineCapacity, Level, NeedHistory};
+use yuccacove::engine_demand::{Capacity, DemandSample, EngineCapacity, Level, NeedHistory};
 use yuccacove::engine_scaling::{Change, EngineKind, KindState, Limits, Need, Planner, ZoneState};
 use yuccacove::event::Event;
 use yuccacove::fleet_rate::HostId;
@@ -42,6 +42,10 @@
 /// Price that is assumed for a zone without one.
 const DEFAULT_PRICE: f64 = 1.0;
 
+/// Requests that a plain back end is assumed to run concurrently; the configuration does not say. If
+/// it runs fewer, full queues raise the demand.
+const PLAIN_SLOTS: u32 = 6;
+
 /// Engines of a service whose number is about to change.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub struct PendingEngines {
@@ -56,7 +60,8 @@
 struct ScaledService {
     name: String,
     spec: ScalingSpec,
-    engine: EngineSpec,
+    /// `None` for a plain service.
+    engine: Option<EngineSpec>,
 }
 
 impl ScaledService {
@@ -69,10 +74,13 @@
         }
     }
 
-    fn capacity(&self) -> EngineCapacity {
-        EngineCapacity {
-            slots: self.engine.slots,
-            kv_tokens: self.engine.kv_tokens,
+    fn capacity(&self) -> Capacity {
+        match self.engine {
+            Some(engine) => Capacity::Engine(EngineCapacity {
+                slots: engine.slots,
+                kv_tokens: engine.kv_tokens,
+            }),
+            None => Capacity::Plain { slots: PLAIN_SLOTS },
         }
     }
 }
@@ -207,8 +215,7 @@
     host.metrics.ordered_engines.clear();
 }
 
-/// Returns the model services whose number of engines may be ordered. The demand for other services
-/// is not known in engines.
+/// Returns the services whose number of engines, or of plain back ends, may be ordered.
 fn scaled_services<B>(host: &Host<B>) -> Vec<ScaledService> {
     let Some(config) = host.config() else {
         return Vec::new();
@@ -217,7 +224,7 @@
         Some(ScaledService {
             name: name.clone(),
             spec: service.scaling.clone()?,
-            engine: service.engine?,
+            engine: service.engine,
         })
     });
     scaled.collect()
@@ -376,7 +383,7 @@
             let order = state.orders.order(zone, kind);
             KindState {
                 ordered: state.orders.ordered(order, now_ms),
-                ..listed(host, &service.name, name, kind)
+                ..listed(host, service, name, kind)
             }
         };
         ZoneState {
@@ -389,19 +396,20 @@
 }
 
 /// Returns the engines of a zone and kind as the directory lists them.
-fn listed<B>(host: &Host<B>, service: &str, zone: &str, kind: EngineKind) -> KindState {
+fn listed<B>(host: &Host<B>, service: &ScaledService, zone: &str, kind: EngineKind) -> KindState {
     let now_ms = host.now_ms();
     let directory = host.directory.borrow();
     let is_of_kind = |key: &BackendKey| {
         let entry = &directory.get(*key).entry;
         entry.zone == zone && entry.is_spot == (kind == EngineKind::Spot)
     };
-    let serving = directory.serving(service, now_ms);
+    let serving = directory.serving(&service.name, now_ms);
     let serving: Vec<_> = serving.into_iter().filter(is_of_kind).collect();
-    let changing = serving
-        .iter()
-        .filter(|key| directory.get(**key).is_unavailable(now_ms));
-    let leaving = directory.taken_back(service, now_ms);
+    // A plain back end has no phase; it is unavailable for a moment when it is full.
+    let is_changing =
+        |key: &&BackendKey| service.engine.is_some() && directory.get(**key).is_unavailable(now_ms);
+    let changing = serving.iter().filter(is_changing);
+    let leaving = directory.taken_back(&service.name, now_ms);
     let count = |engines: usize| u32::try_from(engines).unwrap_or(u32::MAX);
     KindState {
         serving: count(serving.len()),
--- a/crates/yucca-serve/tests/scaling.rs
+++ b/crates/yucca-serve/tests/scaling.rs
@@ -6,11 +6,16 @@
 use std::rc::Rc;
 
 use common::control::{CallMode, FakeControlApi, HandledCall, Platform};
-use common::{FakeBackends, FakeStore, StoreMode, deployment, run_virtual, wait_ms};
+use common::{
+    EngineFleet, FakeBackends, FakeStore, StoreMode, deployment, request, route, run_virtual,
+    wait_ms,
+};
 use serde_json::json;
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::Instant;
-use yucca_serve::config::{EngineSpec, ScalingSpec, Service, ServingConfig};
+use yucca_serve::config::{
+    EngineSpec, Route, RouteKind, ScalingSpec, Service, ServingConfig, WeightedService,
+};
 use yucca_serve::demand::DemandGuard;
 use yucca_serve::follow::probe_store;
 use yucca_serve::hash::hash_of;
@@ -19,6 +24,7 @@
 use yucca_serve::ports::{DutyReply, Kind};
 use yucca_serve::roles::{LEASE_NAME, RoleLease, maintain_lease};
 use yucca_serve::scaling::order_engines;
+use yucca_serve::serve::serve;
 
 const ZONES: [&str; 3] = ["a", "b", "c"];
 const START: u32 = 15;
@@ -50,6 +56,20 @@
     config
 }
 
+/// The same service as a plain one.
+fn plain_config() -> ServingConfig {
+    let mut config = config();
+    config.services["model"].engine = None;
+    config.routes.push(Route {
+        services: vec![WeightedService {
+            service: "model".to_owned(),
+            weight: 1,
+        }],
+        ..route(RouteKind::Idempotent, 2)
+    });
+    config
+}
+
 struct RunningHost {
     host: Rc<Host<FakeBackends>>,
     lease: Rc<RoleLease>,
@@ -67,6 +87,27 @@
 
 impl Fleet {
     fn spawn(hosts: usize) -> Self {
+        let fleet = Self::spawn_idle(hosts, &config());
+        for running in &fleet.hosts {
+            let host = Rc::clone(&running.host);
+            spawn_local(add_load(host, Rc::clone(&fleet.load)));
+        }
+        fleet
+    }
+
+    /// A fleet with a plain service; `requests_per_s` is the load of each host.
+    fn spawn_plain(hosts: usize, requests_per_s: f64) -> Self {
+        let fleet = Self::spawn_idle(hosts, &plain_config());
+        fleet.load.set(requests_per_s);
+        for running in &fleet.hosts {
+            let host = Rc::clone(&running.host);
+            *host.backends.fleet.borrow_mut() = Some(EngineFleet::new());
+            spawn_local(send_requests(host, Rc::clone(&fleet.load)));
+        }
+        fleet
+    }
+
+    fn spawn_idle(hosts: usize, config: &ServingConfig) -> Self {
         let store = FakeStore::new();
         for number in 0..hosts {
             let address = format!("10.9.0.{}:7000", number + 1);
@@ -74,7 +115,7 @@
             store.put(Kind::Hosts, &format!("host.entry-{number}"), Some(value));
         }
         let platform = Platform::new(&ZONES, START);
-        let hosts = (0..hosts).map(|number| spawn_host(number, &store, &platform));
+        let hosts = (0..hosts).map(|number| spawn_host(number, config, &store, &platform));
         let fleet = Self {
             hosts: hosts.collect(),
             platform,
@@ -82,10 +123,6 @@
             load: Rc::new(Cell::new(3.0)),
         };
         spawn_local(deliver(fleet.shared_hosts()));
-        for running in &fleet.hosts {
-            let host = Rc::clone(&running.host);
-            spawn_local(add_load(host, Rc::clone(&fleet.load)));
-        }
         fleet
     }
 
@@ -118,14 +155,19 @@
     }
 }
 
-fn spawn_host(number: usize, store: &Rc<FakeStore>, platform: &Rc<Platform>) -> RunningHost {
+fn spawn_host(
+    number: usize,
+    config: &ServingConfig,
+    store: &Rc<FakeStore>,
+    platform: &Rc<Platform>,
+) -> RunningHost {
     let name = format!("entry-{number}");
     let own = Deployment {
         name: name.clone(),
         ..deployment()
     };
     let host = Rc::new(Host::new(own, FakeBackends::default(), hash_of(&name)));
-    host.set_config(config());
+    host.set_config(config.clone());
     platform.attach(&host);
     let start = Instant::now();
     let clock = move || u64::try_from(start.elapsed().as_millis()).expect("a short test");
@@ -190,6 +232,58 @@
     }
 }
 
+/// Sends plain requests, each of which takes [`EngineFleet::PLAIN_WORK_MS`].
+async fn send_requests(host: Rc<Host<FakeBackends>>, per_s: Rc<Cell<f64>>) {
+    let mut due = 0.0;
+    loop {
+        wait_ms(10).await;
+        due += per_s.get() / 100.0;
+        while due >= 1.0 {
+            due -= 1.0;
+            let host = Rc::clone(&host);
+            spawn_local(async move { serve(&host, request()).await });
+        }
+    }
+}
+
+/// Guards against plain services that keep the back ends of the start, and against orders before their
+/// demand is known. Two hosts send 200 requests a second that take 60 ms: 12 slots in use.
+#[test]
+fn order_engines_plain_follows_demand() {
+    run_virtual(async {
+        let fleet = Fleet::spawn_plain(2, 100.0);
+        wait_ms(2_500).await;
+        assert!(fleet.calls().is_empty());
+        wait_ms(60_000).await;
+        fleet.assert_limits();
+        // 12 slots need 2.7 back ends; twice that are to be left after the loss of any zone's spot ones.
+        let few = fleet.platform.all_serving();
+        assert!((3..=12).contains(&few), "{few}");
+        // 72 slots in use need 16 back ends at their target utilisation.
+        fleet.load.set(600.0);
+        wait_ms(20_000).await;
+        let many = fleet.platform.all_serving();
+        assert!((16..=45).contains(&many), "{many}");
+        fleet.assert_limits();
+    });
+}
+
+/// Guards against orders for a plain service while its demand is unknown, or without a need.
+#[test]
+fn order_engines_plain_without_knowledge() {
+    run_virtual(async {
+        let idle = Fleet::spawn_plain(1, 0.0);
+        wait_ms(50_000).await;
+        assert!(idle.calls().is_empty());
+    });
+    run_virtual(async {
+        let away = Fleet::spawn_plain(1, 100.0);
+        away.store.set_mode(StoreMode::Refusing);
+        wait_ms(50_000).await;
+        assert!(away.calls().is_empty());
+    });
+}
+
 /// Guards against a fleet that stays as large as it was at the start, orders before the demand is
 /// known, and ordinary engines that are given back before spot engines serve.
 #[test]
--- a/src/engine_demand.rs
+++ b/src/engine_demand.rs
@@ -51,6 +51,14 @@
 const MIN_POOL: f64 = 3.0;
 /// Ordinary engines that stay if all spot engines are lost: one for each phase.
 const MIN_RESERVE: f64 = 2.0;
+/// Smallest number of plain back ends: one, and a spare one.
+const MIN_PLAIN_POOL: f64 = 2.0;
+/// Ordinary plain back ends that stay if all spot ones are lost.
+const MIN_PLAIN_RESERVE: f64 = 1.0;
+/// Target fraction of a plain back end's slots in use.
+const PLAIN_UTILISATION: f64 = 0.75;
+/// Requests in progress at a plain back end whose queue is full, as a multiple of its slots.
+const FULL_PLAIN_FACTOR: f64 = 5.0;
 /// Time for which demand must be observed before it is used to order more engines.
 const MIN_OBSERVATION_MS: u64 = 3_000;
 /// Time for which demand must be observed before it is used to give engines back.
@@ -77,9 +85,10 @@
 /// Demand of a set of requests.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Level {
-    /// Prefill time on a prefill engine that the requests of a second need, in milliseconds.
+    /// Prefill time on a prefill engine that the requests of a second need, in milliseconds; for a
+    /// plain service the time of a slot.
     pub prefill_ms_per_s: u32,
-    /// Generations that run or wait.
+    /// Generations, or plain requests, that run or wait.
     pub streams: u32,
     /// KV cache of these generations, in thousands of tokens.
     pub tokens_k: u32,
@@ -103,8 +112,26 @@
         }
     }
 
-    /// Returns the number of engines that serve this demand at their target utilisation.
-    pub fn engines(self, capacity: EngineCapacity) -> f64 {
+    /// Returns the number of engines, or plain back ends, that serve this demand at their target
+    /// utilisation.
+    pub fn engines(self, capacity: impl Into<Capacity>) -> f64 {
+        match capacity.into() {
+            Capacity::Engine(capacity) => self.model_engines(capacity),
+            Capacity::Plain { slots } => self.plain_backends(slots),
+        }
+    }
+
+    /// The requests of a second times their service times are the slots in use, whether or not the
+    /// requests wait or are refused. If there are fewer slots than assumed, queues are full although
+    /// that demand is met; then the requests in progress ask for more back ends.
+    fn plain_backends(self, slots: u32) -> f64 {
+        let slots = f64::from(slots.max(1));
+        let in_use = f64::from(self.prefill_ms_per_s) / 1_000.0;
+        let full = f64::from(self.streams) / FULL_PLAIN_FACTOR;
+        in_use.max(full) / slots / PLAIN_UTILISATION
+    }
+
+    fn model_engines(self, capacity: EngineCapacity) -> f64 {
         let prefill = f64::from(self.prefill_ms_per_s) / 1_000.0 / PREFILL_UTILISATION;
         let slots = f64::from(self.streams) / f64::from(capacity.slots.max(1));
         let memory = f64::from(self.tokens_k) * 1_000.0 / capacity.kv_tokens.max(1) as f64;
@@ -121,6 +148,50 @@
     pub kv_tokens: u64,
 }
 
+/// What an engine or a plain back end can hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Capacity {
+    /// A model engine.
+    Engine(EngineCapacity),
+    /// A back end of a plain service.
+    Plain {
+        /// Requests that it runs concurrently.
+        slots: u32,
+    },
+}
+
+impl From<EngineCapacity> for Capacity {
+    fn from(capacity: EngineCapacity) -> Self {
+        Self::Engine(capacity)
+    }
+}
+
+impl Capacity {
+    fn floors(self) -> Floors {
+        match self {
+            Self::Engine(_) => Floors {
+                split_loss: SPLIT_LOSS,
+                pool: MIN_POOL,
+                reserve: MIN_RESERVE,
+            },
+            Self::Plain { .. } => Floors {
+                split_loss: 0.0,
+                pool: MIN_PLAIN_POOL,
+                reserve: MIN_PLAIN_RESERVE,
+            },
+        }
+    }
+}
+
+/// Engines that a service needs whatever the demand.
+#[derive(Debug, Default, Clone, Copy)]
+struct Floors {
+    /// Addition to the demand.
+    split_loss: f64,
+    pool: f64,
+    reserve: f64,
+}
+
 /// Demand for a service.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DemandSample {
@@ -323,6 +394,7 @@
     firm: Peak,
     urgent: Peak,
     reserve: Peak,
+    floors: Floors,
     first_ms: Option<u64>,
     first_demand_ms: Option<u64>,
     last_ms: u64,
@@ -330,7 +402,9 @@
 
 impl NeedHistory {
     /// Records the demand of all hosts at `now_ms`.
-    pub fn observe(&mut self, sample: &DemandSample, capacity: EngineCapacity, now_ms: u64) {
+    pub fn observe(&mut self, sample: &DemandSample, capacity: impl Into<Capacity>, now_ms: u64) {
+        let capacity = capacity.into();
+        self.floors = capacity.floors();
         let first_ms = *self.first_ms.get_or_insert(now_ms);
         let engines = sample.all.engines(capacity);
         if engines > 0.0 {
@@ -348,11 +422,12 @@
         self.urgent_all.observe(urgent, elapsed_ms);
         let (average, urgent_average) = (self.all.value, self.urgent_all.value);
         let whole = engines.max(average * BURST_FACTOR);
-        self.whole.observe(whole + SPLIT_LOSS, now_ms);
+        let split_loss = self.floors.split_loss;
+        self.whole.observe(whole + split_loss, now_ms);
         // Ordinary engines boot about as long as a burst lasts, so that they only replace missing spot
         // engines for the average demand.
         self.firm
-            .observe(average * FIRM_FACTOR + SPLIT_LOSS, now_ms);
+            .observe(average * FIRM_FACTOR + split_loss, now_ms);
         let urgent = urgent.max(urgent_average * URGENT_BURST_FACTOR);
         self.urgent.observe(urgent, now_ms);
         self.reserve.observe(urgent_average, now_ms);
@@ -363,11 +438,12 @@
         let since = |from_ms: Option<u64>| from_ms.map_or(0, |ms| now_ms.saturating_sub(ms));
         let is_known = since(self.first_demand_ms) >= MIN_OBSERVATION_MS
             || since(self.first_ms) >= IDLE_OBSERVATION_MS;
+        let Floors { pool, reserve, .. } = self.floors;
         is_known.then(|| Need {
-            whole: self.whole.value().max(MIN_POOL),
-            firm: self.firm.value().max(MIN_POOL),
-            urgent: self.urgent.value().max(MIN_RESERVE),
-            reserve: self.reserve.value().max(MIN_RESERVE),
+            whole: self.whole.value().max(pool),
+            firm: self.firm.value().max(pool),
+            urgent: self.urgent.value().max(reserve),
+            reserve: self.reserve.value().max(reserve),
         })
     }
 
--- a/src/plain_load.rs
+++ b/src/plain_load.rs
@@ -235,9 +235,7 @@
         in_progress: InProgress,
         now_ms: u64,
     ) -> PlainForecast {
-        let service = self.kinds.get(&kind);
-        let is_recent = |known: &&ServiceTime| now_ms < known.updated_ms + FORGET_MS;
-        let service_ms = service.filter(is_recent).map_or(0.0, |known| known.ms);
+        let service_ms = self.service_ms(kind, now_ms).unwrap_or(0.0);
         let backend = self.backends.get(&backend).copied().unwrap_or_default();
         let is_full = now_ms < backend.full_until_ms;
         let (queue_ms, used) = if self.is_shortage(now_ms) {
@@ -259,6 +257,12 @@
         }
     }
 
+    /// Returns the service time of a kind without a queue; `None` if there was no response lately.
+    pub fn service_ms(&self, kind: u64, now_ms: u64) -> Option<f64> {
+        let known = self.kinds.get(&kind)?;
+        (now_ms < known.updated_ms + FORGET_MS).then_some(known.ms)
+    }
+
     /// Whether a back end of the service was full recently.
     pub fn is_shortage(&self, now_ms: u64) -> bool {
         now_ms < self.shortage_until_ms
--- a/tests/engine_demand.rs
+++ b/tests/engine_demand.rs
@@ -1,7 +1,7 @@
 //! Demand of a fleet: how often hosts are asked, what their answers add up to, and what one host
 //! measures.
 
-use yuccacove::engine_demand::{DemandCollection, DemandSample, Level, PrefillRate};
+use yuccacove::engine_demand::{Capacity, DemandCollection, DemandSample, Level, PrefillRate};
 use yuccacove::fleet_rate::HostId;
 
 const SERVICE: u64 = 7;
@@ -82,3 +82,23 @@
     assert_eq!(rate.ms_per_s(4_500).round() as u32, 100);
     assert_eq!(rate.ms_per_s(900_000).round() as u32, 0);
 }
+
+/// The work of plain requests decides, but full queues must raise the demand where back ends run fewer
+/// requests at a time than assumed.
+#[test]
+fn engines_plain() {
+    let capacity = Capacity::Plain { slots: 6 };
+    let engines = |prefill_ms_per_s, streams| {
+        let level = Level {
+            prefill_ms_per_s,
+            streams,
+            tokens_k: 0,
+        };
+        level.engines(capacity)
+    };
+    assert_eq!(engines(9_000, 9), 2.0);
+    // Requests that wait in queues are no more work.
+    assert_eq!(engines(9_000, 45), 2.0);
+    // Three back ends with 6 slots and a queue of 24 are full.
+    assert_eq!(engines(9_000, 90), 4.0);
+}
