Count a held request once in the time that callers usually allow

Each poll of a held request made the host forget a part of the time that callers of its kind usually allow, so that returning callers were recognised or not depending on the polling interval. Only the first decision about a request counts now.

Evidence: decide_independent_of_polls fails before (with 4,000 polls in 2 s the returning caller was taken for a new one) and passes now.

--- a/src/overload.rs
+++ b/src/overload.rs
@@ -259,8 +259,11 @@
     fn spent_ms(&mut self, ask: &Ask) -> u64 {
         let allowed_ms = (ask.forecast.elapsed_ms + ask.forecast.left_ms) as f64;
         let usual_ms = self.allowed_ms.entry(ask.asker.kind).or_insert(allowed_ms);
-        *usual_ms = (*usual_ms * USUAL_DECAY).max(allowed_ms);
-        (*usual_ms - allowed_ms) as u64
+        // A held request is considered many times and counts once.
+        if ask.ticket.is_none() {
+            *usual_ms = (*usual_ms * USUAL_DECAY).max(allowed_ms);
+        }
+        (*usual_ms - allowed_ms).max(0.0) as u64
     }
 
     fn refuse(&self, ask: &Ask, reason: Reason, random: u64) -> Decision {
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -2,6 +2,7 @@
 
 use yuccacove::fair_shares::Asker;
 use yuccacove::forecast::Forecast;
+use yuccacove::hold_queue::Precedence;
 use yuccacove::overload::{Ask, Decision, Overload, Reason};
 
 fn ask(kind: u64, first_token_ms: f64, prefill_queue_ms: f64) -> Ask {
@@ -121,3 +122,30 @@
         assert!(quarter >= left_ms / 20, "{left_ms}: {times:?}");
     }
 }
+
+/// Guards against a decision that depends on how often held requests are considered: each poll of one
+/// made the host forget a part of the time that callers usually allow.
+#[test]
+fn decide_independent_of_polls() {
+    let is_late_after = |polls: u64| {
+        let mut overload = Overload::default();
+        let first = ask(1, 100.0, 0.0);
+        assert_eq!(overload.decide(&first, 0, 0), Decision::Admit);
+        let mut returning = ask(1, 100.0, 200.0);
+        returning.forecast.left_ms = 5_000;
+        returning.ticket = Some(overload.queue.insert(Precedence {
+            is_late: true,
+            urgency: 1,
+            due_ms: 0,
+        }));
+        for poll in 0..polls {
+            let decision = overload.decide(&returning, poll * 2_000 / polls, 0);
+            assert!(matches!(decision, Decision::Hold { .. }));
+        }
+        returning.ticket = None;
+        reason(overload.decide(&returning, 2_000, 0)) == Some(Reason::Late)
+    };
+    assert!(is_late_after(1));
+    assert!(is_late_after(80));
+    assert!(is_late_after(4_000));
+}
