Keep the state of a zone without a price that loses its last engine

For a service without zone_prices the zones were those of the engines that serve. When one lost its last engine, the holder forgot the demand, the orders and the planner of the whole service, ordered nothing for 3 s, and nothing in that zone any more. Zones are now kept for the epoch, and new ones are added behind them.

Evidence: order_engines_zone_without_price_lost fails before and passes now; the other tests of scaling pass.

--- a/crates/yucca-serve/src/scaling.rs
+++ b/crates/yucca-serve/src/scaling.rs
@@ -99,6 +99,8 @@
 /// State of a service under one epoch.
 struct ServiceState {
     zones: Vec<String>,
+    /// Whether the zones are those with a price.
+    is_priced: bool,
     planner: Planner,
     orders: ScaleOrders,
     history: NeedHistory,
@@ -109,10 +111,11 @@
 }
 
 impl ServiceState {
-    fn new(zones: Vec<String>) -> Self {
+    fn new(zones: Vec<String>, is_priced: bool) -> Self {
         Self {
             planner: Planner::new(zones.len()),
             zones,
+            is_priced,
             orders: ScaleOrders::default(),
             history: NeedHistory::default(),
             pause: None,
@@ -248,13 +251,7 @@
     is_ready: bool,
     now_ms: u64,
 ) {
-    let zones = zone_names(host, service);
-    let known = state.services.get(&service.name);
-    if known.is_none_or(|known| known.zones != zones) {
-        let created = ServiceState::new(zones);
-        state.services.insert(service.name.clone(), created);
-    }
-    let state = &mut state.services[&service.name];
+    let state = service_state(host, state, service);
     let limits = service.limits();
     let zones = zone_states(host, service, state, now_ms);
     publish(host, service, state, &zones, &limits, now_ms);
@@ -354,20 +351,40 @@
     state.orders.set(order, change.engines, change.is_raise);
 }
 
-/// Returns the zones in which engines can be ordered or are listed.
-fn zone_names<B>(host: &Host<B>, service: &ScaledService) -> Vec<String> {
+/// Returns the state of a service, whose zones are those with a price. Without prices they are those in
+/// which an engine was listed under this epoch; a zone that has lost its engines stays.
+fn service_state<'a, B>(
+    host: &Host<B>,
+    state: &'a mut HolderState,
+    service: &ScaledService,
+) -> &'a mut ServiceState {
+    let services = &mut state.services;
     let mut zones: Vec<String> = service.spec.zone_prices.keys().cloned().collect();
-    if zones.is_empty() {
-        let directory = host.directory.borrow();
-        for key in directory.serving(&service.name, host.now_ms()) {
-            let zone = &directory.get(key).entry.zone;
-            if !zones.contains(zone) {
-                zones.push(zone.clone());
-            }
+    zones.sort();
+    let is_priced = !zones.is_empty();
+    let known = services.get(&service.name);
+    let is_other =
+        |known: &ServiceState| known.is_priced != is_priced || (is_priced && known.zones != zones);
+    if known.is_none_or(is_other) {
+        let created = ServiceState::new(zones, is_priced);
+        services.insert(service.name.clone(), created);
+    }
+    let state = &mut services[&service.name];
+    if !is_priced {
+        add_listed_zones(host, state, &service.name);
+    }
+    state
+}
+
+fn add_listed_zones<B>(host: &Host<B>, state: &mut ServiceState, service: &str) {
+    let directory = host.directory.borrow();
+    for key in directory.serving(service, host.now_ms()) {
+        let zone = &directory.get(key).entry.zone;
+        if !state.zones.contains(zone) {
+            state.zones.push(zone.clone());
+            state.planner.add_zone();
         }
     }
-    zones.sort();
-    zones
 }
 
 fn zone_states<B>(
--- a/crates/yucca-serve/tests/common/control.rs
+++ b/crates/yucca-serve/tests/common/control.rs
@@ -132,6 +132,14 @@
         self.end_engines(&(zone.to_owned(), true), serving);
     }
 
+    /// Ends all engines of a zone.
+    pub fn end_zone(self: &Rc<Self>, zone: &str) {
+        for is_spot in [false, true] {
+            let serving = self.serving(zone, is_spot);
+            self.end_engines(&(zone.to_owned(), is_spot), serving);
+        }
+    }
+
     fn start_engine(&self, pool: &PoolKey) {
         let id = self.next_id.replace(self.next_id.get() + 1);
         let mut entry = entry("model", id as u8, Phase::Decode);
--- a/crates/yucca-serve/tests/scaling.rs
+++ b/crates/yucca-serve/tests/scaling.rs
@@ -497,3 +497,31 @@
         }
     });
 }
+
+/// Guards against a zone without a price that is forgotten, with the demand and all orders of the service,
+/// when it loses its last engine.
+#[test]
+fn order_engines_zone_without_price_lost() {
+    run_virtual(async {
+        let mut config = config();
+        let service = &mut config.services["model"];
+        let scaling = service.scaling.as_mut().expect("a scaled service");
+        scaling.zone_prices.clear();
+        let fleet = Fleet::spawn_idle(1, &config);
+        spawn_local(add_load(
+            Rc::clone(&fleet.hosts[0].host),
+            Rc::clone(&fleet.load),
+        ));
+        wait_ms(60_000).await;
+        let before = fleet.calls().len();
+        fleet.load.set(20.0);
+        fleet.platform.end_zone("c");
+        wait_ms(2_700).await;
+        // Without the state of the time before, nothing would be ordered in the first 3 s.
+        assert!(fleet.calls().len() > before);
+        wait_ms(25_000).await;
+        let serving = |is_spot| fleet.platform.serving("c", is_spot);
+        assert!(serving(false) + serving(true) >= 1);
+        fleet.assert_limits();
+    });
+}
--- a/src/engine_scaling.rs
+++ b/src/engine_scaling.rs
@@ -412,6 +412,11 @@
         }
     }
 
+    /// Adds a zone behind the known ones.
+    pub fn add_zone(&mut self) {
+        self.markets.push(SpotMarket::default());
+    }
+
     /// Records that an order for spot engines of a zone was refused.
     pub fn record_refusal(&mut self, zone: usize, now_ms: u64) {
         let market = &mut self.markets[zone];
