--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -23,12 +23,14 @@
 //! ```
 
 mod authentication;
+mod backend_arena;
 pub mod boot_clock;
 pub mod choose;
 pub mod config;
 pub mod config_order;
 pub mod crashes;
 pub mod demand;
+mod departed;
 pub mod directory;
 mod engine_reports;
 pub mod events;
@@ -42,6 +44,7 @@
 pub mod organisations;
 pub mod peers;
 pub mod plain;
+pub mod plain_admission;
 pub mod ports;
 mod prefill;
 pub mod recency;
--- a/crates/yucca-serve/src/scaling.rs
+++ b/crates/yucca-serve/src/scaling.rs
@@ -10,7 +10,7 @@
 use indexmap::IndexMap;
 use tokio::time::{Duration, sleep};
 use yucca_io::log;
-use yuccacove::engine_demand::{DemandSample, EngineCapacity, Level, NeedHistory};
+use yuccacove::engine_demand::{Capacity, DemandSample, EngineCapacity, Level, NeedHistory};
 use yuccacove::engine_scaling::{
     Change, EngineKind, KindState, Limits, Lowering, Need, Planner, ZoneState,
 };
@@ -46,6 +46,10 @@
 /// Price that is assumed for a zone without one.
 const DEFAULT_PRICE: f64 = 1.0;
 
+/// Requests that a plain back end is assumed to run concurrently; the configuration does not say. If
+/// it runs fewer, full queues raise the demand.
+const PLAIN_SLOTS: u32 = 6;
+
 /// Engines of a service whose number is about to change.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
 pub struct PendingEngines {
@@ -60,7 +64,8 @@
 struct ScaledService {
     name: String,
     spec: ScalingSpec,
-    engine: EngineSpec,
+    /// `None` for a plain service.
+    engine: Option<EngineSpec>,
 }
 
 impl ScaledService {
@@ -73,10 +78,13 @@
         }
     }
 
-    fn capacity(&self) -> EngineCapacity {
-        EngineCapacity {
-            slots: self.engine.slots,
-            kv_tokens: self.engine.kv_tokens,
+    fn capacity(&self) -> Capacity {
+        match self.engine {
+            Some(engine) => Capacity::Engine(EngineCapacity {
+                slots: engine.slots,
+                kv_tokens: engine.kv_tokens,
+            }),
+            None => Capacity::Plain { slots: PLAIN_SLOTS },
         }
     }
 }
@@ -95,6 +103,8 @@
 /// State of a service under one epoch.
 struct ServiceState {
     zones: Vec<String>,
+    /// Whether the zones are those with a price.
+    is_priced: bool,
     planner: Planner,
     orders: ScaleOrders,
     history: NeedHistory,
@@ -108,10 +118,11 @@
 }
 
 impl ServiceState {
-    fn new(zones: Vec<String>) -> Self {
+    fn new(zones: Vec<String>, is_priced: bool) -> Self {
         Self {
             planner: Planner::new(zones.len()),
             zones,
+            is_priced,
             orders: ScaleOrders::default(),
             history: NeedHistory::default(),
             found: (0, 0),
@@ -215,8 +226,7 @@
     host.metrics.ordered_engines.clear();
 }
 
-/// Returns the model services whose number of engines may be ordered. The demand for other services
-/// is not known in engines.
+/// Returns the services whose number of engines, or of plain back ends, may be ordered.
 fn scaled_services<B>(host: &Host<B>) -> Vec<ScaledService> {
     let Some(config) = host.config() else {
         return Vec::new();
@@ -225,7 +235,7 @@
         Some(ScaledService {
             name: name.clone(),
             spec: service.scaling.clone()?,
-            engine: service.engine?,
+            engine: service.engine,
         })
     });
     scaled.collect()
@@ -249,13 +259,7 @@
     is_ready: bool,
     now_ms: u64,
 ) {
-    let zones = zone_names(host, service);
-    let known = state.services.get(&service.name);
-    if known.is_none_or(|known| known.zones != zones) {
-        let created = ServiceState::new(zones);
-        state.services.insert(service.name.clone(), created);
-    }
-    let state = &mut state.services[&service.name];
+    let state = service_state(host, state, service);
     let limits = service.limits();
     let zones = zone_states(host, service, state, now_ms);
     publish(host, service, state, &zones, &limits, now_ms);
@@ -376,20 +380,40 @@
     state.orders.set(order, change.engines, change.is_raise);
 }
 
-/// Returns the zones in which engines can be ordered or are listed.
-fn zone_names<B>(host: &Host<B>, service: &ScaledService) -> Vec<String> {
+/// Returns the state of a service, whose zones are those with a price. Without prices they are those in
+/// which an engine was listed under this epoch; a zone that has lost its engines stays.
+fn service_state<'a, B>(
+    host: &Host<B>,
+    state: &'a mut HolderState,
+    service: &ScaledService,
+) -> &'a mut ServiceState {
+    let services = &mut state.services;
     let mut zones: Vec<String> = service.spec.zone_prices.keys().cloned().collect();
-    if zones.is_empty() {
-        let directory = host.directory.borrow();
-        for key in directory.serving(&service.name, host.now_ms()) {
-            let zone = &directory.get(key).entry.zone;
-            if !zones.contains(zone) {
-                zones.push(zone.clone());
-            }
+    zones.sort();
+    let is_priced = !zones.is_empty();
+    let known = services.get(&service.name);
+    let is_other =
+        |known: &ServiceState| known.is_priced != is_priced || (is_priced && known.zones != zones);
+    if known.is_none_or(is_other) {
+        let created = ServiceState::new(zones, is_priced);
+        services.insert(service.name.clone(), created);
+    }
+    let state = &mut services[&service.name];
+    if !is_priced {
+        add_listed_zones(host, state, &service.name);
+    }
+    state
+}
+
+fn add_listed_zones<B>(host: &Host<B>, state: &mut ServiceState, service: &str) {
+    let directory = host.directory.borrow();
+    for key in directory.serving(service, host.now_ms()) {
+        let zone = &directory.get(key).entry.zone;
+        if !state.zones.contains(zone) {
+            state.zones.push(zone.clone());
+            state.planner.add_zone();
         }
     }
-    zones.sort();
-    zones
 }
 
 fn zone_states<B>(
@@ -405,7 +429,7 @@
             let order = state.orders.order(zone, kind);
             KindState {
                 ordered: state.orders.ordered(order, now_ms),
-                ..listed(host, &service.name, name, kind)
+                ..listed(host, service, name, kind)
             }
         };
         ZoneState {
@@ -418,19 +442,20 @@
 }
 
 /// Returns the engines of a zone and kind as the directory lists them.
-fn listed<B>(host: &Host<B>, service: &str, zone: &str, kind: EngineKind) -> KindState {
+fn listed<B>(host: &Host<B>, service: &ScaledService, zone: &str, kind: EngineKind) -> KindState {
     let now_ms = host.now_ms();
     let directory = host.directory.borrow();
     let is_of_kind = |key: &BackendKey| {
         let entry = &directory.get(*key).entry;
         entry.zone == zone && entry.is_spot == (kind == EngineKind::Spot)
     };
-    let serving = directory.serving(service, now_ms);
+    let serving = directory.serving(&service.name, now_ms);
     let serving: Vec<_> = serving.into_iter().filter(is_of_kind).collect();
-    let changing = serving
-        .iter()
-        .filter(|key| directory.get(**key).is_unavailable(now_ms));
-    let leaving = directory.taken_back(service, now_ms);
+    // A plain back end has no phase; it is unavailable for a moment when it is full.
+    let is_changing =
+        |key: &&BackendKey| service.engine.is_some() && directory.get(**key).is_unavailable(now_ms);
+    let changing = serving.iter().filter(is_changing);
+    let leaving = directory.taken_back(&service.name, now_ms);
     let count = |engines: usize| u32::try_from(engines).unwrap_or(u32::MAX);
     KindState {
         serving: count(serving.len()),
