Count generations that an engine ends with its own error

Callers of the control API saw a window with 3,501 requests reported 369 too low. In that window seven engines answered 371 generations with status 500. Generations were counted at their first event only, so these were missing.

A generation now also counts when an engine's response is an error of its own (5xx). Refusals, 4xx and attempts without a response still do not count, and a request counts once however many attempts it took.

serve_counted_once failed before the change in its new case "stream ended by an error of the engine" (0 of 1 counted).

--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -184,7 +184,7 @@
         usage.count(organisation, begun_ms, host.clock.now_ms());
     }
 
-    /// Counts a generation, which begins to run with its first event.
+    /// Counts a generation, which begins to run with its first event or ends with an engine's error.
     pub fn count_generation(&self) {
         self.count_usage(self.host.clock.now_ms());
     }
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -234,6 +234,10 @@
     match send_generation(context, key, choice, &kv_cache, resume_after).await {
         Ok(response) => {
             kv_cache.handle = None;
+            // An engine that answers with an error of its own has worked on the request.
+            if response.head.status.is_server_error() {
+                context.count_generation();
+            }
             Ok(Some(OpenStream {
                 key,
                 response,
--- a/crates/yucca-serve/tests/usage.rs
+++ b/crates/yucca-serve/tests/usage.rs
@@ -447,6 +447,24 @@
             vec![Step::Respond(400, vec![])],
             0,
         ),
+        (
+            "stream ended by an error of the engine",
+            stream,
+            vec![Step::Respond(500, vec![])],
+            1,
+        ),
+        (
+            "stream not completed by the engine in time",
+            stream,
+            vec![Step::Respond(504, vec![])],
+            1,
+        ),
+        (
+            "stream broken before its head",
+            stream,
+            vec![broken(), broken(), broken()],
+            0,
+        ),
     ];
     for (case, kind, steps, expected) in cases {
         run_virtual(async {
@@ -484,6 +502,29 @@
     assert!(retried > 0);
 }
 
+/// A generation whose further attempt ends with an error of the engine counts, and only once.
+#[test]
+fn serve_counted_error_after_break() {
+    let event = Chunk::Bytes(5, "id: 1\ndata: a\n\n");
+    let mut retried = 0;
+    for seed in 1..=8 {
+        for before in [vec![], vec![event.clone()]] {
+            run_virtual(async {
+                let kind = RouteKind::Stream { is_resumable: true };
+                let host = usage_host("entry-1", "a", kind, seed);
+                let broken = [before, vec![Chunk::Broken(5)]].concat();
+                host.backends.script("gen-1", [Step::Respond(200, broken)]);
+                host.backends.script("gen-2", [Step::Respond(500, vec![])]);
+                let reply = serve(&host, keyed(generation(), "alder")).await;
+                let _ = reply.body.collect().await;
+                assert_eq!(host.metrics.usage_counted.get(), 1);
+                retried += host.backends.attempts().len() - 1;
+            });
+        }
+    }
+    assert!(retried > 0);
+}
+
 /// A caller that leaves does not undo that the request runs.
 #[test]
 fn serve_counted_after_caller_left() {
