Count requests that usage reports miss, and sort clock samples once

Counted requests whose time could not be assigned to a window vanished without a trace.

FleetClock keeps the median of its samples and sorts them only when one changes, not for each request.

report_usage_dropped_counted covers the counter; it does not compile without the metric.

--- a/crates/yucca-serve/src/metrics.rs
+++ b/crates/yucca-serve/src/metrics.rs
@@ -125,6 +125,8 @@
     pub refused_connections: Counter,
     /// Requests counted for usage reports.
     pub usage_counted: Counter,
+    /// Counted requests whose time window is not known.
+    pub usage_dropped: Counter,
     /// Time windows whose usage the control API has taken from this host.
     pub usage_reported: Counter,
     /// Those of them that were reported after they were due.
@@ -165,6 +167,7 @@
             closed_connections: Family::default(),
             memory: Family::default(),
             usage_counted: Counter::default(),
+            usage_dropped: Counter::default(),
             usage_reported: Counter::default(),
             usage_late: Counter::default(),
             usage_pending: Gauge::default(),
@@ -289,6 +292,11 @@
             "Requests counted for usage reports",
             self.usage_counted.clone(),
         );
+        registry.register(
+            "usage_dropped",
+            "Counted requests whose time window is not known",
+            self.usage_dropped.clone(),
+        );
         registry.register(
             "usage_reported",
             "Time windows reported by this host",
--- a/crates/yucca-serve/src/usage.rs
+++ b/crates/yucca-serve/src/usage.rs
@@ -234,6 +234,8 @@
     changed: IndexMap<(u64, String), u8>,
     /// Requests that wait until true time is known, with their times on the boot clock.
     unassigned: Vec<(u64, Rc<str>)>,
+    /// Requests that could not be assigned since the last log line.
+    dropped: u64,
     /// Runs of other hosts of which counts are kept, with the time of the last news.
     heard_ms: IndexMap<Source, u64>,
     /// Highest window that a holder named.
@@ -266,6 +268,7 @@
                 tally: Tally::default(),
                 changed: IndexMap::new(),
                 unassigned: Vec::new(),
+                dropped: 0,
                 heard_ms: IndexMap::new(),
                 remembered: None,
                 copies: Copies::default(),
@@ -299,6 +302,11 @@
         state.unassigned.push((begun_ms, Rc::clone(organisation)));
     }
 
+    /// Returns the number of requests that could not be assigned to a window since the last call.
+    fn take_dropped(&self) -> u64 {
+        std::mem::take(&mut self.state.borrow_mut().dropped)
+    }
+
     /// Whether messages wait to be sent.
     pub(crate) fn has_messages(&self) -> bool {
         let state = self.state.borrow();
@@ -333,6 +341,7 @@
         }
         for (begun_ms, organisation) in std::mem::take(&mut state.unassigned) {
             let Some(true_ms) = state.clock.true_ms(begun_ms) else {
+                state.dropped += 1;
                 continue;
             };
             let window = true_ms / self.timing.window_ms;
--- a/crates/yucca-serve/src/usage/holder.rs
+++ b/crates/yucca-serve/src/usage/holder.rs
@@ -98,6 +98,11 @@
         let others = self.host.peers.ids();
         let now_ms = self.host.clock.now_ms();
         self.usage.update(others.len(), now_ms);
+        let dropped = self.usage.take_dropped();
+        if dropped > 0 {
+            self.host.metrics.usage_dropped.inc_by(dropped);
+            log::write(Event::UsageDropped, &format!("requests={dropped}"));
+        }
         let term = self.refresh_term();
         let pending = i64::try_from(self.reporter.pending()).unwrap_or(i64::MAX);
         self.host.metrics.usage_pending.set(pending);
--- a/crates/yucca-serve/tests/usage.rs
+++ b/crates/yucca-serve/tests/usage.rs
@@ -751,6 +751,26 @@
     });
 }
 
+/// Requests that cannot be assigned to a window must not vanish silently.
+#[test]
+fn report_usage_dropped_counted() {
+    run_virtual(async {
+        let fleet = Fleet::spawn(0, 1);
+        for member in fleet.members.borrow().iter() {
+            let usage = member.host.usage.as_ref().expect("usage is reported");
+            // A wall clock at the start of 1970, which then falls behind the boot clock.
+            usage.set_wall_clock(|| 0);
+        }
+        fleet.send_requests(10_000).await;
+        wait_ms(1_000).await;
+        let members = fleet.members.borrow();
+        let dropped = |m: &Member| m.host.metrics.usage_dropped.get();
+        assert!(members.iter().map(dropped).sum::<u64>() > 0);
+        let counted = |m: &Member| m.host.metrics.usage_counted.get();
+        assert!(members.iter().all(|m| dropped(m) <= counted(m)));
+    });
+}
+
 #[test]
 fn report_usage_each_window_once() {
     run_virtual(async {
--- a/src/fleet_clock.rs
+++ b/src/fleet_clock.rs
@@ -58,6 +58,8 @@
 pub struct FleetClock {
     own: HostId,
     offsets: IndexMap<HostId, Offset>,
+    /// Median of the offsets; `None` without any.
+    median_ms: Option<i64>,
     /// Time of the first own reading; `None` before it.
     started_ms: Option<u64>,
 }
@@ -68,6 +70,7 @@
         Self {
             own,
             offsets: IndexMap::new(),
+            median_ms: None,
             started_ms: None,
         }
     }
@@ -98,12 +101,18 @@
 
     fn insert(&mut self, host: HostId, offset_ms: i64, taken_ms: u64) {
         let is_fresh = |offset: &Offset| taken_ms.saturating_sub(offset.taken_ms) <= SAMPLE_LIFE_MS;
+        let count_before = self.offsets.len();
         self.offsets.retain(|_, offset| is_fresh(offset));
         let offset = Offset {
             offset_ms,
             taken_ms,
         };
-        self.offsets.insert(host, offset);
+        let before = self.offsets.insert(host, offset);
+        // Most readings repeat the offset of the last one.
+        let is_same = before.is_some_and(|before| before.offset_ms == offset_ms);
+        if is_same && self.offsets.len() == count_before {
+            return;
+        }
         if self.offsets.len() > MAX_SAMPLES {
             let others = self.offsets.iter().filter(|(id, _)| **id != self.own);
             let oldest = others.min_by_key(|(_, offset)| offset.taken_ms);
@@ -111,6 +120,9 @@
                 self.offsets.swap_remove(&id);
             }
         }
+        let mut offsets: Vec<i64> = self.offsets.values().map(|o| o.offset_ms).collect();
+        offsets.sort_unstable();
+        self.median_ms = offsets.get(offsets.len() / 2).copied();
     }
 
     /// Returns the time of the latest sample of a host; `None` if there is none that counts.
@@ -131,10 +143,7 @@
     /// Returns true time, in milliseconds since 1970, at a time of the boot clock; `None` without any
     /// sample.
     pub fn true_ms(&self, boot_ms: u64) -> Option<u64> {
-        let mut offsets: Vec<i64> = self.offsets.values().map(|o| o.offset_ms).collect();
-        offsets.sort_unstable();
-        let offset_ms = *offsets.get(offsets.len() / 2)?;
-        u64::try_from(signed(boot_ms) + offset_ms).ok()
+        u64::try_from(signed(boot_ms) + self.median_ms?).ok()
     }
 }
 
