--- a/crates/yucca-serve/src/usage.rs
+++ b/crates/yucca-serve/src/usage.rs
@@ -14,14 +14,21 @@
 use yucca_io::clock::wall_ms;
 use yuccacove::fleet_clock::{ClockSample, FleetClock};
 use yuccacove::fleet_rate::HostId;
+use yuccacove::usage_copies::Copies;
 use yuccacove::usage_window::{Source, Tally};
 
 use crate::hash::hash_of;
 use crate::host::UsageTiming;
 
+mod copies;
+mod gather;
 mod holder;
 mod inquiry;
 
+pub use copies::CopyPart;
+use copies::PartBuffer;
+use gather::Gather;
+pub use gather::{GroupAnswer, GroupContent, GroupQuestion};
 pub use holder::report_usage;
 use inquiry::Inquiry;
 
@@ -52,6 +59,8 @@
 const MAX_BLOCKS_BYTES: usize = 1_100;
 /// Largest size of a block's fields other than its entries.
 const BLOCK_BYTES: usize = 34;
+/// Size of a count and of the length of a name, at most.
+const ENTRY_BYTES: usize = 6;
 
 /// Counts of one run of a host in one window.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -104,6 +113,57 @@
         /// Window in the message.
         window: u64,
     },
+    /// A part of a report that is about to be sent, for a host that keeps a copy.
+    Copy {
+        /// The holder.
+        sender: HostId,
+        /// The part.
+        part: CopyPart,
+    },
+    /// Confirms that a host keeps a copy.
+    CopyKept {
+        /// Host that confirms.
+        sender: HostId,
+        /// Epoch of the copy.
+        epoch: u64,
+        /// Window of the copy.
+        window: u64,
+    },
+    /// The holder asks for copies of the reports that the store has lost.
+    CopyQuestion {
+        /// The holder.
+        sender: HostId,
+        /// Epoch of its lease.
+        epoch: u64,
+        /// First window.
+        first: u64,
+        /// Last window.
+        last: u64,
+    },
+    /// First part of the answer to such a question.
+    CopiesNamed {
+        /// Host that answers.
+        sender: HostId,
+        /// Epoch in the question.
+        epoch: u64,
+        /// Windows that the host was told of, and the highest epoch under which it was.
+        named: Vec<(u64, u64)>,
+        /// Number of copies that follow.
+        copies: u32,
+    },
+    /// A part of a copy in the answer to such a question.
+    CopyAnswer {
+        /// Host that answers.
+        sender: HostId,
+        /// Epoch in the question.
+        epoch: u64,
+        /// The part.
+        part: CopyPart,
+    },
+    /// The holder asks a host to add up the counts of a group.
+    GroupQuestion(GroupQuestion),
+    /// A part of the answer to such a question.
+    GroupAnswer(GroupAnswer),
 }
 
 /// Question of the holder for counts.
@@ -143,7 +203,7 @@
     /// Its id.
     pub id: HostId,
     /// Its availability zone.
-    pub zone: String,
+    pub zone: Rc<str>,
 }
 
 /// Counts of this host and what it keeps for others.
@@ -174,10 +234,17 @@
     changed: IndexMap<(u64, String), u8>,
     /// Requests that wait until true time is known, with their times on the boot clock.
     unassigned: Vec<(u64, Rc<str>)>,
+    /// Requests that could not be assigned since the last log line.
+    dropped: u64,
     /// Runs of other hosts of which counts are kept, with the time of the last news.
     heard_ms: IndexMap<Source, u64>,
     /// Highest window that a holder named.
     remembered: Option<u64>,
+    /// Windows that holders named, and the reports that this host keeps.
+    copies: Copies,
+    incomplete_copies: PartBuffer,
+    /// Sum that this host forms for the holder.
+    gather: Option<Gather>,
     /// Time of the start on the boot clock, and the window in which it was.
     started_ms: Option<u64>,
     started_window: Option<u64>,
@@ -201,8 +268,12 @@
                 tally: Tally::default(),
                 changed: IndexMap::new(),
                 unassigned: Vec::new(),
+                dropped: 0,
                 heard_ms: IndexMap::new(),
                 remembered: None,
+                copies: Copies::default(),
+                incomplete_copies: PartBuffer::default(),
+                gather: None,
                 started_ms: None,
                 started_window: None,
                 clock_answers: Vec::new(),
@@ -231,6 +302,11 @@
         state.unassigned.push((begun_ms, Rc::clone(organisation)));
     }
 
+    /// Returns the number of requests that could not be assigned to a window since the last call.
+    fn take_dropped(&self) -> u64 {
+        std::mem::take(&mut self.state.borrow_mut().dropped)
+    }
+
     /// Whether messages wait to be sent.
     pub(crate) fn has_messages(&self) -> bool {
         let state = self.state.borrow();
@@ -238,6 +314,14 @@
         has_questions || !state.replies.is_empty() || !state.clock_answers.is_empty()
     }
 
+    /// Whether messages are to be sent at `now_ms`.
+    pub(crate) fn is_due(&self, now_ms: u64) -> bool {
+        let state = self.state.borrow();
+        let is_periodic = now_ms >= state.next_clock_ms.min(state.next_replica_ms);
+        let is_gathering = state.gather.as_ref().is_some_and(Gather::is_open);
+        is_periodic || is_gathering || self.has_messages()
+    }
+
     /// Returns true time if it is known well enough.
     fn true_ms(&self, others: usize, now_ms: u64) -> Option<u64> {
         let state = self.state.borrow();
@@ -257,6 +341,7 @@
         }
         for (begun_ms, organisation) in std::mem::take(&mut state.unassigned) {
             let Some(true_ms) = state.clock.true_ms(begun_ms) else {
+                state.dropped += 1;
                 continue;
             };
             let window = true_ms / self.timing.window_ms;
@@ -273,9 +358,9 @@
             state
                 .heard_ms
                 .retain(|_, heard_ms| now_ms.saturating_sub(*heard_ms) < kept_ms);
-            state
-                .tally
-                .forget_before(window.saturating_sub(RETAINED_WINDOWS));
+            let first_kept = window.saturating_sub(RETAINED_WINDOWS);
+            state.tally.forget_before(first_kept);
+            state.copies.forget_before(first_kept);
         }
     }
 
@@ -316,10 +401,14 @@
                 messages.push((to.clone(), UsageMessage::Counts(blocks)));
             }
         }
+        if let Some(gather) = &mut state.gather {
+            let question = gather.take_question(self.own.host, now_ms);
+            messages.extend(question.map(|(to, q)| (to, UsageMessage::Question(q))));
+        }
+        state.finish_gather(self.own, now_ms);
         drop(state);
         if let Some(inquiry) = &mut *self.inquiry.borrow_mut() {
-            let others: Vec<HostId> = others.iter().map(|other| other.id).collect();
-            messages.extend(inquiry.take_messages(self.own.host, &others));
+            messages.extend(inquiry.take_messages(self.own.host, others));
         }
         messages
     }
@@ -347,7 +436,8 @@
             }
             UsageMessage::Counts(blocks) => state.keep(self.own, &blocks, now_ms),
             // Requests that are not assigned to windows yet would be missing in the answer.
-            UsageMessage::Question(_) if !state.unassigned.is_empty() => {}
+            UsageMessage::Question(_) | UsageMessage::GroupQuestion(_)
+                if !state.unassigned.is_empty() => {}
             UsageMessage::Question(question) => {
                 let to = question.sender;
                 let answers = state.answers(self.own, &question, others, now_ms);
@@ -355,6 +445,24 @@
                 let answers = answers.map(|answer| (to, UsageMessage::Answer(answer)));
                 state.replies.extend(answers);
             }
+            UsageMessage::Answer(answer)
+                if state.gather.as_ref().is_some_and(|g| g.accepts(&answer)) =>
+            {
+                if let Some(gather) = &mut state.gather {
+                    gather.record(&answer);
+                }
+                state.finish_gather(self.own, now_ms);
+            }
+            UsageMessage::GroupQuestion(question) => {
+                state.gather(self.own, question, others, now_ms);
+            }
+            UsageMessage::GroupAnswer(answer) => {
+                drop(state);
+                if let Some(inquiry) = &mut *self.inquiry.borrow_mut() {
+                    inquiry.record_group(answer, now_ms);
+                }
+                self.answered.notify_one();
+            }
             UsageMessage::Answer(answer) => {
                 drop(state);
                 if let Some(inquiry) = &mut *self.inquiry.borrow_mut() {
@@ -368,6 +476,7 @@
                 window,
             } => {
                 state.remembered = state.remembered.max(Some(window));
+                state.copies.name(window, epoch);
                 let named = UsageMessage::Named {
                     sender: self.own.host,
                     epoch,
@@ -386,6 +495,37 @@
                 }
                 self.answered.notify_one();
             }
+            UsageMessage::Copy { sender, part } => {
+                let (epoch, window) = (part.epoch, part.window);
+                if let Some(copy) = state.incomplete_copies.add(sender, part) {
+                    state.copies.keep(copy);
+                    let kept = UsageMessage::CopyKept {
+                        sender: self.own.host,
+                        epoch,
+                        window,
+                    };
+                    state.replies.push((sender, kept));
+                }
+            }
+            UsageMessage::CopyQuestion {
+                sender,
+                epoch,
+                first,
+                last,
+            } => {
+                let answers = copies::answers(&state.copies, self.own.host, epoch, first, last);
+                let answers = answers.into_iter().map(|answer| (sender, answer));
+                state.replies.extend(answers);
+            }
+            UsageMessage::CopyKept { .. }
+            | UsageMessage::CopiesNamed { .. }
+            | UsageMessage::CopyAnswer { .. } => {
+                drop(state);
+                if let Some(inquiry) = &mut *self.inquiry.borrow_mut() {
+                    inquiry.record_copies(message, now_ms);
+                }
+                self.answered.notify_one();
+            }
         }
     }
 }
@@ -412,6 +552,41 @@
         blocks.collect()
     }
 
+    /// Begins to add up the counts of a group, or repeats the answer.
+    fn gather(&mut self, own: Source, question: GroupQuestion, others: &[HostId], now_ms: u64) {
+        if let Some(gather) = self.gather.as_ref().filter(|g| g.is_for(&question)) {
+            let holder = question.sender;
+            let answers = gather.answers().iter().cloned();
+            let answers = answers.map(|answer| (holder, UsageMessage::GroupAnswer(answer)));
+            self.replies.extend(answers);
+            return;
+        }
+        let own_question = Question {
+            sender: own.host,
+            epoch: question.epoch,
+            number: question.number,
+            first: question.first,
+            windows: question.windows,
+            silent: Vec::new(),
+        };
+        let mut gather = Gather::new(question, now_ms);
+        for answer in self.answers(own, &own_question, others, now_ms) {
+            gather.record(&answer);
+        }
+        self.gather = Some(gather);
+        self.finish_gather(own, now_ms);
+    }
+
+    /// Sends the sum of the group to the holder once it is complete.
+    fn finish_gather(&mut self, own: Source, now_ms: u64) {
+        if let Some(gather) = &mut self.gather {
+            let holder = gather.question.sender;
+            let answers = gather.finish(own, now_ms).iter().cloned();
+            let answers = answers.map(|answer| (holder, UsageMessage::GroupAnswer(answer)));
+            self.replies.extend(answers);
+        }
+    }
+
     /// Keeps counts that another host sent as to a replica host.
     fn keep(&mut self, own: Source, blocks: &[Block], now_ms: u64) {
         for block in blocks.iter().filter(|block| block.source != own) {
@@ -504,22 +679,30 @@
 /// Returns the replica hosts of `own`: other hosts of its availability zone, or any if there are too
 /// few, by rendezvous hash.
 fn replicas(own: HostId, zone: &str, others: &[OtherHost]) -> Vec<HostId> {
-    let rank = |other: &&OtherHost| (other.zone != zone, hash_of((own.0, other.id.0)));
-    let mut ranked: Vec<&OtherHost> = others.iter().collect();
+    nearest(own, zone, others, REPLICAS)
+}
+
+/// Returns the first `count` hosts in the order in which `own` prefers them as replica hosts.
+fn nearest(own: HostId, zone: &str, others: &[OtherHost], count: usize) -> Vec<HostId> {
+    let rank = |other: &&OtherHost| (&*other.zone != zone, hash_of((own.0, other.id.0)));
+    let mut ranked: Vec<&OtherHost> = others.iter().filter(|other| other.id != own).collect();
     ranked.sort_by_key(rank);
-    ranked.iter().take(REPLICAS).map(|other| other.id).collect()
+    ranked.iter().take(count).map(|other| other.id).collect()
+}
+
+/// Returns the size of an entry in a datagram, at most.
+fn entry_bytes(name: &str) -> usize {
+    name.len() + ENTRY_BYTES
 }
 
 /// Distributes blocks over datagrams of at most [`MAX_BLOCKS_BYTES`].
 fn split(blocks: Vec<Block>) -> Vec<Vec<Block>> {
-    /// Size of a count and of the length of a name, at most.
-    const ENTRY_BYTES: usize = 6;
     let mut datagrams: Vec<Vec<Block>> = Vec::new();
     let mut used_bytes = MAX_BLOCKS_BYTES;
     for block in blocks {
         let mut is_open = false;
         for (name, count) in block.entries {
-            let entry_bytes = name.len() + ENTRY_BYTES;
+            let entry_bytes = entry_bytes(&name);
             let block_bytes = if is_open { 0 } else { BLOCK_BYTES };
             if used_bytes + entry_bytes + block_bytes > MAX_BLOCKS_BYTES {
                 datagrams.push(Vec::new());
--- a/crates/yucca-serve/src/usage/holder.rs
+++ b/crates/yucca-serve/src/usage/holder.rs
@@ -6,6 +6,7 @@
 use yucca_io::log;
 use yuccacove::event::Event;
 use yuccacove::fleet_rate::HostId;
+use yuccacove::usage_copies::ReportCopy;
 use yuccacove::usage_window::{Action, CallOutcome, Report, Reporter, Reports, Term, WriteOutcome};
 
 use super::inquiry::Inquiry;
@@ -97,6 +98,11 @@
         let others = self.host.peers.ids();
         let now_ms = self.host.clock.now_ms();
         self.usage.update(others.len(), now_ms);
+        let dropped = self.usage.take_dropped();
+        if dropped > 0 {
+            self.host.metrics.usage_dropped.inc_by(dropped);
+            log::write(Event::UsageDropped, &format!("requests={dropped}"));
+        }
         let term = self.refresh_term();
         let pending = i64::try_from(self.reporter.pending()).unwrap_or(i64::MAX);
         self.host.metrics.usage_pending.set(pending);
@@ -110,7 +116,7 @@
             Action::Wait => {}
             Action::Read => self.read(term).await,
             Action::Write { expected, value } => self.write(term, expected, value).await,
-            Action::Name { window } => self.name(&others, window, now_ms),
+            Action::Name(report) => self.name(&others, term, report, now_ms),
             Action::Call(report) => self.call(term, report).await,
         }
         if let Some(inquiry) = &mut *self.usage.inquiry.borrow_mut() {
@@ -139,14 +145,26 @@
             }
             return;
         }
+        if let Some((first, last)) = self.reporter.lost_windows() {
+            let survey = inquiry.survey(first, last, now_ms);
+            let answered = survey.answered();
+            let is_late = survey.is_late(now_ms);
+            let mut copies = survey.copies.clone();
+            let is_answered = others.iter().all(|id| answered.contains(id));
+            if is_answered || is_late && inquiry.majority.is_heard(others, &answered, now_ms) {
+                copies.merge(&self.usage.state.borrow().copies);
+                self.reporter.record_copies(copies.valid());
+                inquiry.end_survey();
+            }
+            return;
+        }
         if inquiry.windows > 0 {
             let last = inquiry.first + inquiry.windows - 1;
             let is_late = true_ms >= (last + 1) * window_ms + COLLECT_LIMIT_MS;
             if inquiry.is_complete(others, is_late, now_ms) {
                 let own = &self.usage.state.borrow().tally;
                 for window in inquiry.first..=last {
-                    inquiry.tally.merge_window(window, own);
-                    let counts = inquiry.tally.total(window);
+                    let counts = inquiry.total(window, own);
                     self.reporter.compose(Report { window, counts });
                 }
                 inquiry.end();
@@ -161,13 +179,11 @@
         let Some(next) = self.reporter.first_window(inquiry.oldest.unwrap_or(ended)) else {
             return;
         };
-        if let Some((first, last)) = self
-            .reporter
-            .forgotten()
-            .filter(|f| self.skipped < Some(f.1))
-        {
-            self.skipped = Some(last);
-            log_skipped(first, last, "store_restored");
+        for (first, last) in self.reporter.forgotten() {
+            if self.skipped < Some(last) {
+                self.skipped = Some(last);
+                log_skipped(first, last, "store_restored");
+            }
         }
         let oldest_kept = ended.saturating_sub(RETAINED_WINDOWS - 2);
         let first = next.max(oldest_kept);
@@ -255,16 +271,19 @@
         self.reporter.record_write(reports, outcome);
     }
 
-    fn name(&mut self, others: &[HostId], window: u64, now_ms: u64) {
-        let mut state = self.usage.state.borrow_mut();
-        state.remembered = state.remembered.max(Some(window));
+    fn name(&mut self, others: &[HostId], term: Term, report: Report, now_ms: u64) {
+        let window = report.window;
         if let Some(inquiry) = &mut *self.usage.inquiry.borrow_mut() {
-            inquiry.name(window, now_ms);
-            if inquiry.majority.is_told(others, &inquiry.named, now_ms) {
+            inquiry.name(&report, now_ms);
+            if inquiry.is_named(others, now_ms) {
                 inquiry.naming = None;
                 self.reporter.record_named(window);
             }
         }
+        let mut state = self.usage.state.borrow_mut();
+        state.remembered = state.remembered.max(Some(window));
+        let epoch = term.epoch;
+        state.copies.keep(ReportCopy { epoch, report });
     }
 
     async fn call(&mut self, term: Term, report: Report) {
