Reserve less memory when much is resident beyond what is reserved

Callers saw: nothing yet. Cause: the budget knows only what is reserved, and the rest of the resident memory differs between machines and allocators. Change: the budget takes the resident memory of the process, and allows less in all when the part that was not reserved and the reserved memory would exceed 15/16 of the process's memory. A quarter of that may be reserved in any case, so that ordinary callers are served. Evidence: total_capacity_by_resident and try_reserve_after_resident_falls, which call functions that did not exist before.

--- a/src/memory_budget.rs
+++ b/src/memory_budget.rs
@@ -29,6 +29,13 @@
 /// for the program, its state, and what the allocator does not return at once.
 const TOTAL_SHARE_EIGHTHS: usize = 5;
 
+/// Share of the process's memory, in sixteenths, that its resident memory may reach before less may be
+/// reserved.
+const RESIDENT_SHARE_SIXTEENTHS: usize = 15;
+/// Share of that, as a divisor, that may be reserved in any case. Ordinary callers would
+/// else not be served as long as the allocator keeps memory that it could use again.
+const MIN_TOTAL_SHARE_DIVISOR: usize = 4;
+
 /// What memory is used for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Purpose {
@@ -60,6 +67,10 @@
     body_capacity_bytes: usize,
     connection_capacity_bytes: usize,
     total_capacity_bytes: usize,
+    /// Bytes that the resident memory may reach.
+    resident_limit_bytes: usize,
+    /// Resident memory beyond what was reserved.
+    unreserved_bytes: usize,
     request_bytes: usize,
     response_bytes: usize,
     connection_bytes: usize,
@@ -73,6 +84,8 @@
             body_capacity_bytes: process_bytes / BODY_SHARE_DIVISOR,
             connection_capacity_bytes: eighth_bytes * CONNECTION_SHARE_EIGHTHS,
             total_capacity_bytes: eighth_bytes * TOTAL_SHARE_EIGHTHS,
+            resident_limit_bytes: process_bytes / 16 * RESIDENT_SHARE_SIXTEENTHS,
+            unreserved_bytes: 0,
             request_bytes: 0,
             response_bytes: 0,
             connection_bytes: 0,
@@ -93,6 +106,26 @@
         }
     }
 
+    /// Records the resident memory of the process. What it has beyond the reserved memory is used by the
+    /// program itself, kept by the allocator or not accounted for, and less may be reserved if it is much.
+    pub fn record_resident(&mut self, resident_bytes: usize) {
+        self.unreserved_bytes = resident_bytes.saturating_sub(self.used_bytes());
+    }
+
+    /// Returns the resident memory beyond the reserved memory, when it was last recorded.
+    pub fn unreserved_bytes(&self) -> usize {
+        self.unreserved_bytes
+    }
+
+    /// Returns how much memory may be reserved for all purposes together.
+    pub fn total_capacity_bytes(&self) -> usize {
+        let left_bytes = self
+            .resident_limit_bytes
+            .saturating_sub(self.unreserved_bytes);
+        let min_bytes = self.resident_limit_bytes / MIN_TOTAL_SHARE_DIVISOR;
+        left_bytes.max(min_bytes).min(self.total_capacity_bytes)
+    }
+
     /// Whether `bytes` more could be reserved now.
     pub fn has_room(&self, purpose: Purpose, bytes: usize) -> bool {
         let fits = |used_bytes: usize, limit_bytes| used_bytes.saturating_add(bytes) <= limit_bytes;
@@ -110,7 +143,7 @@
             }
             Purpose::Connection => fits(self.connection_bytes, self.connection_capacity_bytes),
         };
-        fits_purpose && fits(self.used_bytes(), self.total_capacity_bytes)
+        fits_purpose && fits(self.used_bytes(), self.total_capacity_bytes())
     }
 
     /// Reserves memory. Returns `false`, and reserves none, if there is not enough.
--- a/tests/memory_budget.rs
+++ b/tests/memory_budget.rs
@@ -70,3 +70,40 @@
         assert!(is_reserved, "request {request}");
     }
 }
+
+/// Guards against memory that the allocator keeps, or that nothing accounts for, on top of all that may be
+/// reserved: both together exceed the memory of the process.
+#[test]
+fn total_capacity_by_resident() {
+    for (reserved_bytes, resident_bytes, capacity_bytes) in [
+        (0, 0, 1_000),
+        (0, 500, 1_000),
+        (400, 900, 1_000),
+        (400, 901, 999),
+        (400, 1_400, 500),
+        (0, 1_100, 400),
+        // A quarter of the limit remains.
+        (0, 1_200, 375),
+        (0, usize::MAX, 375),
+    ] {
+        let mut budget = MemoryBudget::new(1_600);
+        assert!(budget.try_reserve(Request, reserved_bytes));
+        budget.record_resident(resident_bytes);
+        let found = budget.total_capacity_bytes();
+        let unreserved_bytes = resident_bytes.saturating_sub(reserved_bytes);
+        assert_eq!(found, capacity_bytes, "{reserved_bytes} {resident_bytes}");
+        assert_eq!(budget.unreserved_bytes(), unreserved_bytes);
+    }
+}
+
+/// Guards against a limit that stays after the allocator has returned the memory, and against one that a
+/// process with little memory has although its own program is all that is resident.
+#[test]
+fn try_reserve_after_resident_falls() {
+    let mut budget = MemoryBudget::new(120_000_000);
+    budget.record_resident(100_000_000);
+    assert!(!budget.try_reserve(Request, 30_000_000));
+    budget.record_resident(37_000_000);
+    assert_eq!(budget.total_capacity_bytes(), 75_000_000);
+    assert!(budget.try_reserve(Request, 30_000_000));
+}
