Map the segments of bodies, and release their memory with the last reference

Callers saw: hosts near their memory limit. Cause: freed segments of 4 to 32 KB remain between small objects that are in use. Change: segments of 16 KB or more are mapped, so that the kernel has their pages back when they end. A segment holds its reservation until the last reference to its bytes is dropped, also when the connection to a slow engine holds them longer than the request. The memory is shared between threads, because Bytes may be dropped by any.

--- a/crates/yucca-serve/src/body_buffer.rs
+++ b/crates/yucca-serve/src/body_buffer.rs
@@ -6,22 +6,22 @@
 use bytes::Bytes;
 
 use crate::memory::MemoryGuard;
+use crate::segment::{MIN_MAPPED_BYTES, Segment, page_bytes};
 
-/// Smallest and largest size of a segment, unless the rest of the body is smaller. All segments are below
-/// the size from which the allocator asks the kernel for memory, so that they are reused.
-const MIN_SEGMENT_BYTES: usize = 4 * 1_024;
+/// Size of the first segment of a body of unknown length, unless its first bytes need more.
+const FIRST_SEGMENT_BYTES: usize = 4 * 1_024;
+/// Largest size of a segment, unless a page is larger.
 const MAX_SEGMENT_BYTES: usize = 32 * 1_024;
-/// Share of the allocated bytes, as a divisor, by which the buffer of a body of unknown length grows.
-const GROWTH_DIVISOR: usize = 2;
 
-/// Bytes of a body so far, and the memory that is reserved for their segments.
+/// Bytes of a body so far, in segments for which memory is reserved.
 #[derive(Debug)]
 pub struct BodyBuffer {
-    segments: Vec<Vec<u8>>,
+    segments: Vec<Segment>,
     /// Index of the first segment that is not full.
     current: usize,
     len: usize,
     capacity: usize,
+    /// Holds no memory itself.
     memory: MemoryGuard,
     /// Length of the body if it is known, else the longest that it may have.
     max_bytes: usize,
@@ -30,7 +30,7 @@
 
 impl BodyBuffer {
     /// Creates an empty buffer for a body of at most `max_bytes`, of which `declared_bytes` are announced,
-    /// if any.
+    /// if any. Its segments are reserved like `memory`.
     pub fn new(memory: MemoryGuard, declared_bytes: Option<usize>, max_bytes: usize) -> Self {
         Self {
             segments: Vec::new(),
@@ -72,25 +72,27 @@
 
     fn next_segment_bytes(&self) -> usize {
         let left = self.max_bytes.saturating_sub(self.capacity);
-        let wanted = if self.is_length_known {
-            MAX_SEGMENT_BYTES
-        } else {
-            (self.capacity / GROWTH_DIVISOR).clamp(MIN_SEGMENT_BYTES, MAX_SEGMENT_BYTES)
+        let wanted = match self.capacity {
+            _ if self.is_length_known => max_segment_bytes(),
+            0 => FIRST_SEGMENT_BYTES,
+            capacity => capacity.clamp(MIN_MAPPED_BYTES, max_segment_bytes()),
         };
         wanted.min(left)
     }
 
     fn grow(&mut self, bytes: usize) -> bool {
-        if !self.memory.grow(bytes) {
-            return false;
-        }
-        let mut left = bytes;
-        while left > 0 {
-            let segment_bytes = left.min(MAX_SEGMENT_BYTES);
-            self.segments.push(Vec::with_capacity(segment_bytes));
-            left -= segment_bytes;
+        let mut added = Vec::new();
+        let mut added_bytes = 0;
+        while added_bytes < bytes {
+            let segment_bytes = (bytes - added_bytes).min(max_segment_bytes());
+            let Some(segment) = Segment::allocate(self.memory.empty(), segment_bytes) else {
+                return false;
+            };
+            added_bytes += segment.capacity();
+            added.push(segment);
         }
-        self.capacity += bytes;
+        self.segments.append(&mut added);
+        self.capacity += added_bytes;
         true
     }
 
@@ -103,10 +105,8 @@
         self.len += bytes.len();
         while !bytes.is_empty() {
             let segment = &mut self.segments[self.current];
-            let room = segment.capacity() - segment.len();
-            let (first, rest) = bytes.split_at(room.min(bytes.len()));
-            segment.extend_from_slice(first);
-            bytes = rest;
+            let pushed_bytes = segment.push(bytes);
+            bytes = &bytes[pushed_bytes..];
             if segment.len() == segment.capacity() {
                 self.current += 1;
             }
@@ -114,16 +114,16 @@
         true
     }
 
-    /// Returns the segments that have bytes, and the memory that is reserved for them.
-    pub fn finish(mut self) -> (Vec<Bytes>, MemoryGuard) {
+    /// Returns the segments that have bytes. Their memory stays reserved as long as the bytes are referred
+    /// to.
+    pub fn finish(mut self) -> Vec<Bytes> {
         self.segments.retain(|segment| !segment.is_empty());
-        if let Some(last) = self.segments.last_mut() {
-            last.shrink_to_fit();
-        }
-        let capacity = self.segments.iter().map(Vec::capacity).sum();
-        // A smaller size is always granted.
-        let _ = self.memory.resize(capacity);
-        let segments = self.segments.into_iter().map(Bytes::from);
-        (segments.collect(), self.memory)
+        let last = self.segments.pop().map(Segment::fit);
+        self.segments.extend(last);
+        self.segments.into_iter().map(Bytes::from).collect()
     }
 }
+
+fn max_segment_bytes() -> usize {
+    MAX_SEGMENT_BYTES.max(page_bytes())
+}
--- a/crates/yucca-serve/src/caller_body.rs
+++ b/crates/yucca-serve/src/caller_body.rs
@@ -1,7 +1,6 @@
 //! Reads the body of a caller's request within its own limit and the host's memory.
 
 use std::hash::{Hash, Hasher};
-use std::rc::Rc;
 
 use bytes::Bytes;
 use http_body::Body;
@@ -12,16 +11,16 @@
 
 use crate::body_buffer::BodyBuffer;
 use crate::connections::{CallerConnection, refusal_code};
-use crate::memory::{Memory, MemoryGuard};
+use crate::memory::Memory;
 
 /// Longest time for which the rest of a refused body is read, so that its caller gets the refusal.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// A complete body, with the memory that is reserved for it.
+/// A complete body. Its memory stays reserved as long as any of its bytes are referred to, also by a
+/// backend connection that has not sent them yet.
 #[derive(Debug, Clone, Default)]
 pub struct CallerBody {
     segments: Vec<Bytes>,
-    _memory: Option<Rc<MemoryGuard>>,
 }
 
 impl CallerBody {
@@ -55,7 +54,6 @@
     fn from(bytes: Bytes) -> Self {
         Self {
             segments: vec![bytes],
-            _memory: None,
         }
     }
 }
@@ -114,10 +112,8 @@
         let _ = buffer.try_push(&data);
         caller.set_held(buffer.capacity());
     }
-    let (segments, guard) = buffer.finish();
     Ok(CallerBody {
-        segments,
-        _memory: Some(Rc::new(guard)),
+        segments: buffer.finish(),
     })
 }
 
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod revision;
 pub mod roles;
 pub mod scaling;
+pub mod segment;
 pub mod serve;
 pub mod store_calls;
 pub mod stream;
--- a/crates/yucca-serve/src/memory.rs
+++ b/crates/yucca-serve/src/memory.rs
@@ -2,38 +2,48 @@
 //!
 //! [`yuccacove::memory_budget`] decides; this module holds what was reserved.
 
-use std::cell::RefCell;
-use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use yuccacove::memory_budget::{MemoryBudget, Purpose};
 
-/// Memory of a host for bodies and connections. Clones share it.
+/// Memory of a host for bodies and connections. Clones share it, also between threads, because the
+/// bytes of a body may be released by any of them.
 #[derive(Debug, Clone)]
 pub struct Memory {
-    budget: Rc<RefCell<MemoryBudget>>,
+    budget: Arc<Mutex<MemoryBudget>>,
 }
 
 impl Memory {
     /// Creates the memory of a process that may use `process_bytes` in all.
     pub fn new(process_bytes: usize) -> Self {
         Self {
-            budget: Rc::new(RefCell::new(MemoryBudget::new(process_bytes))),
+            budget: Arc::new(Mutex::new(MemoryBudget::new(process_bytes))),
         }
     }
 
     /// Returns how many bytes are in use.
     pub fn used_bytes(&self) -> usize {
-        self.budget.borrow().used_bytes()
+        self.budget().used_bytes()
     }
 
     /// Returns how many bytes are in use for a purpose.
     pub fn used_for(&self, purpose: Purpose) -> usize {
-        self.budget.borrow().used_for(purpose)
+        self.budget().used_for(purpose)
     }
 
     /// Whether `bytes` more could be reserved now.
     pub fn has_room(&self, purpose: Purpose, bytes: usize) -> bool {
-        self.budget.borrow().has_room(purpose, bytes)
+        self.budget().has_room(purpose, bytes)
+    }
+
+    /// Records the resident memory of the process.
+    pub fn record_resident(&self, resident_bytes: usize) {
+        self.budget().record_resident(resident_bytes);
+    }
+
+    /// Returns the resident memory of the process beyond what was reserved, when it was last recorded.
+    pub fn unreserved_bytes(&self) -> usize {
+        self.budget().unreserved_bytes()
     }
 
     /// Returns a guard that holds no memory yet.
@@ -44,6 +54,10 @@
             bytes: 0,
         }
     }
+
+    fn budget(&self) -> MutexGuard<'_, MemoryBudget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Reserved memory; dropping it releases the memory.
@@ -55,11 +69,15 @@
 }
 
 impl MemoryGuard {
+    /// Returns a guard for the same purpose that holds no memory yet.
+    pub fn empty(&self) -> Self {
+        self.memory.guard(self.purpose)
+    }
+
     /// Reserves `bytes` more. Returns `false`, and reserves none, if there is not enough memory.
     #[must_use]
     pub fn grow(&mut self, bytes: usize) -> bool {
-        let mut budget = self.memory.budget.borrow_mut();
-        let is_reserved = budget.try_reserve(self.purpose, bytes);
+        let is_reserved = self.memory.budget().try_reserve(self.purpose, bytes);
         if is_reserved {
             self.bytes += bytes;
         }
@@ -73,8 +91,8 @@
         if bytes > self.bytes {
             return self.grow(bytes - self.bytes);
         }
-        let mut budget = self.memory.budget.borrow_mut();
-        budget.release(self.purpose, self.bytes - bytes);
+        let released_bytes = self.bytes - bytes;
+        self.memory.budget().release(self.purpose, released_bytes);
         self.bytes = bytes;
         true
     }
@@ -82,7 +100,6 @@
 
 impl Drop for MemoryGuard {
     fn drop(&mut self) {
-        let mut budget = self.memory.budget.borrow_mut();
-        budget.release(self.purpose, self.bytes);
+        self.memory.budget().release(self.purpose, self.bytes);
     }
 }
--- a/crates/yucca-serve/src/plain.rs
+++ b/crates/yucca-serve/src/plain.rs
@@ -158,9 +158,8 @@
         let chunk = chunk.map_err(CallFault::Broken)?;
         let is_too_long = buffer.len() + chunk.len() > MAX_BUFFERED_BYTES;
         if is_too_long || !buffer.try_push(&chunk) {
-            let (segments, memory) = buffer.finish();
             let start = vec![
-                ReplyData::reserved(segments, memory),
+                ReplyData::segmented(buffer.finish()),
                 ReplyData::from(chunk),
             ];
             return Ok(Outcome::Unbuffered(head, start, body));
@@ -170,10 +169,9 @@
         let cause = "connection ended before the body";
         return Err(CallFault::Broken(cause.to_owned()));
     }
-    let (segments, memory) = buffer.finish();
     Ok(Outcome::Complete {
         head,
-        body: ReplyData::reserved(segments, memory),
+        body: ReplyData::segmented(buffer.finish()),
         is_framed,
     })
 }
--- a/crates/yucca-serve/src/reply.rs
+++ b/crates/yucca-serve/src/reply.rs
@@ -69,13 +69,21 @@
 }
 
 impl ReplyData {
-    /// Creates the bytes of a body for which memory is reserved.
-    pub fn reserved(segments: impl IntoIterator<Item = Bytes>, memory: MemoryGuard) -> Self {
+    /// Creates bytes for which memory is reserved.
+    pub fn reserved(bytes: Bytes, memory: MemoryGuard) -> Self {
+        Self {
+            _memory: Some(memory),
+            ..Self::from(bytes)
+        }
+    }
+
+    /// Creates the bytes of a body in segments, whose memory they hold themselves.
+    pub fn segmented(segments: impl IntoIterator<Item = Bytes>) -> Self {
         let mut segments = segments.into_iter().filter(|segment| !segment.is_empty());
         Self {
             first: segments.next().unwrap_or_default(),
             rest: segments.collect(),
-            _memory: Some(memory),
+            _memory: None,
         }
     }
 
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -462,8 +462,7 @@
             context.elapsed_ms()
         ),
     );
-    let (segments, memory) = buffer.finish();
-    Reply::complete(head, ReplyData::reserved(segments, memory))
+    Reply::complete(head, ReplyData::segmented(buffer.finish()))
 }
 
 /// Times of a stream's events, in milliseconds since the request was received.
@@ -661,7 +660,7 @@
     let has_memory = memory.grow(events.len());
     let is_small = events.len() <= UNCOUNTED_BYTES;
     if is_small && has_memory {
-        let sent = caller.send(Ok(ReplyData::reserved([events], memory))).await;
+        let sent = caller.send(Ok(ReplyData::reserved(events, memory))).await;
         return sent.map_err(|_| StreamEnd::CallerLeft);
     }
     if !has_memory {
@@ -675,7 +674,7 @@
     let permits = caller.reserve_many(CHANNEL_CHUNKS).await;
     let mut permits = permits.map_err(|_| StreamEnd::CallerLeft)?;
     if let Some(permit) = permits.next() {
-        permit.send(Ok(ReplyData::reserved([events], memory)));
+        permit.send(Ok(ReplyData::reserved(events, memory)));
     }
     Ok(())
 }
