Account for the buffers of connections whose bodies arrive

Callers saw: hosts near their memory limit. Cause: a connection whose body arrives held 48 KiB (399 connections, 18.7 MiB of heap beside bodies), of which 24 were reserved. Change: 24 KiB more are reserved when a request begins. A running request has as much as before, so that as many of them have room. Evidence: tests/connections.rs; begin_request_reserves_buffers fails without the reservation.

--- a/crates/yucca-serve/src/connections.rs
+++ b/crates/yucca-serve/src/connections.rs
@@ -22,6 +22,9 @@
 
 /// Memory of an open connection: its state and hyper's read buffer.
 const RESERVED_CONNECTION_BYTES: usize = 24 * 1_024;
+/// Memory of a connection while the body of a request arrives, beside the body: hyper's read buffer grows,
+/// and the part that was read last is held until it has been copied. Measured were 48 KiB with the above.
+const RECEIVING_BYTES: usize = 24 * 1_024;
 /// Memory of a request in progress beside its body: its state, and its connection to a backend.
 const REQUEST_BYTES: usize = 32 * 1_024;
 /// Number of times that a reservation is tried again after a connection was told to close.
@@ -234,26 +237,35 @@
         }
     }
 
-    /// Begins a request, whose body arrives next.
-    pub fn begin_request(&self) {
+    /// Begins a request, whose body arrives next. Other connections may be closed for it. Returns `false`
+    /// if there is no room for it.
+    pub async fn begin_request(&self) -> bool {
         self.set_phase(Phase::Body);
+        self.make_room(0, RECEIVING_BYTES).await
     }
 
     /// Begins to run a request that has arrived completely. Other connections may be closed for it.
     /// Returns `false` if there is no room for it.
     pub async fn run_request(&self) -> bool {
+        let has_room = self.make_room(1, REQUEST_BYTES).await;
+        if has_room {
+            self.set_phase(Phase::Running);
+        }
+        has_room
+    }
+
+    /// Reserves memory for a request, and closes other connections until there is enough of it and
+    /// `descriptors` are free. Returns `false` if there is no room.
+    async fn make_room(&self, descriptors: usize, request_bytes: usize) -> bool {
+        let shared = &self.connections.shared;
         for _ in 0..=MAX_RELIEF_TRIES {
-            let has_descriptor = self.connections.shared.budget.borrow().has_room(1);
-            let shortage = if !has_descriptor {
+            let has_descriptors = shared.budget.borrow().has_room(descriptors);
+            let needed_bytes = RESERVED_CONNECTION_BYTES + request_bytes;
+            let shortage = if descriptors > 0 && !has_descriptors {
                 Shortage::Descriptors
-            } else if !self
-                .memory
-                .borrow_mut()
-                .resize(RESERVED_CONNECTION_BYTES + REQUEST_BYTES)
-            {
+            } else if !self.memory.borrow_mut().resize(needed_bytes) {
                 Shortage::ConnectionMemory
             } else {
-                self.set_phase(Phase::Running);
                 return true;
             };
             if !self.connections.relieve(shortage) {
