--- a/crates/yucca-io/src/lib.rs
+++ b/crates/yucca-io/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod ini_file;
 pub mod log;
 pub mod operators;
+pub mod resident_memory;
 pub mod segmented_body;
 pub mod settings;
 pub mod stop;
--- a/crates/yucca-serve/src/metrics.rs
+++ b/crates/yucca-serve/src/metrics.rs
@@ -139,6 +139,7 @@
     overload_refused: Family<ByReason, Counter>,
     closed_connections: Family<ByReason, Counter>,
     memory: Family<ByPurpose, Gauge>,
+    unreserved_memory: Gauge,
     /// Learned speeds of the engines.
     pub engine_speeds: EngineSpeeds,
     refused: Family<ByCode, Counter>,
@@ -164,6 +165,7 @@
             refused_connections: Counter::default(),
             closed_connections: Family::default(),
             memory: Family::default(),
+            unreserved_memory: Gauge::default(),
             usage_counted: Counter::default(),
             usage_reported: Counter::default(),
             usage_late: Counter::default(),
@@ -228,6 +230,8 @@
             let gauge = self.memory.get_or_create(&label);
             gauge.set(as_gauge(memory.used_for(purpose)));
         }
+        let unreserved_bytes = memory.unreserved_bytes();
+        self.unreserved_memory.set(as_gauge(unreserved_bytes));
     }
 
     /// Counts a request that may have run and got no complete response.
@@ -345,6 +349,12 @@
             Unit::Bytes,
             self.memory.clone(),
         );
+        registry.register_with_unit(
+            "unreserved_memory",
+            "Resident memory beyond the reserved memory",
+            Unit::Bytes,
+            self.unreserved_memory.clone(),
+        );
         registry.register(
             "engine_speed",
             "Learned speeds of engines, relative to the published one",
