Hold less for slow readers, and account for what is held

Callers saw: hosts near their memory limit when answers stay unread. Cause: hyper's buffers for backends grow to 32 KB and more, and the chunk that was read last stays alive while its events wait for the caller. Chunks for which there is no memory were passed on nevertheless. A small chunk kept the buffer that it was read into. The copy of a growing event buffer was not counted. Change: reads from backends return less than 16 KB, so that the buffers stay small. Chunks are copied into memory that is reserved for them; a large one waits for it, until the deadline or until the caller leaves. The event buffer reserves its former and its new place while it grows, and complete events take up their length.

--- a/crates/yucca-io/src/connections.rs
+++ b/crates/yucca-io/src/connections.rs
@@ -15,6 +15,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::limited_reads::LimitedReads;
 use crate::segmented_body::SegmentedBody;
 
 /// Size of the read buffer, which is also the maximum size of a response's head. A backend that sends
@@ -68,7 +69,7 @@
             set_dead_peer_detection(&stream, probes).map_err(|e| e.to_string())?;
             let (sender, driver) = http1::Builder::new()
                 .max_buf_size(MAX_BUFFER_BYTES)
-                .handshake(TokioIo::new(stream))
+                .handshake(TokioIo::new(LimitedReads::new(stream)))
                 .await
                 .map_err(|e| e.to_string())?;
             let driver = tokio::spawn(async move {
--- a/crates/yucca-io/src/lib.rs
+++ b/crates/yucca-io/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod connections;
 pub mod http_client;
 pub mod ini_file;
+pub mod limited_reads;
 pub mod log;
 pub mod operators;
 pub mod resident_memory;
--- a/crates/yucca-serve/src/connections.rs
+++ b/crates/yucca-serve/src/connections.rs
@@ -169,6 +169,21 @@
         closing.inspect(|closing| self.signal(*closing)).is_some()
     }
 
+    /// Calls `reserve` until it succeeds, and closes other connections in between. Returns `false` if
+    /// none may be closed any more.
+    pub async fn reserve_body(&self, mut reserve: impl FnMut() -> bool) -> bool {
+        for _ in 0..MAX_RELIEF_TRIES {
+            if reserve() {
+                return true;
+            }
+            if !self.relieve(Shortage::BodyMemory) {
+                return false;
+            }
+            yield_now().await;
+        }
+        reserve()
+    }
+
     fn signal(&self, closing: Closing) {
         self.shared.closed.record(closing.reason);
         if let Some(signal) = self.shared.signals.borrow().get(&closing.key) {
@@ -309,19 +324,9 @@
         budget.record_sent(self.key, is_taken, now_ms);
     }
 
-    /// Calls `reserve` until it succeeds, and closes other connections in between. Returns `false` if
-    /// none may be closed any more.
-    pub async fn reserve_body(&self, mut reserve: impl FnMut() -> bool) -> bool {
-        for _ in 0..MAX_RELIEF_TRIES {
-            if reserve() {
-                return true;
-            }
-            if !self.connections.relieve(Shortage::BodyMemory) {
-                return false;
-            }
-            yield_now().await;
-        }
-        reserve()
+    /// As [`Connections::reserve_body`].
+    pub async fn reserve_body(&self, reserve: impl FnMut() -> bool) -> bool {
+        self.connections.reserve_body(reserve).await
     }
 
     fn set_phase(&self, phase: Phase) {
--- a/crates/yucca-serve/src/plain.rs
+++ b/crates/yucca-serve/src/plain.rs
@@ -1,8 +1,11 @@
 //! Requests to plain services: a short response is read completely before it is forwarded.
 
+use std::rc::Rc;
+
+use bytes::Bytes;
 use http::response::Parts;
 use tokio::sync::mpsc;
-use tokio::time::{Duration, sleep, timeout_at};
+use tokio::time::{Duration, Instant, sleep, timeout_at};
 use yucca_io::log;
 use yuccacove::code::Code;
 use yuccacove::connection_budget::Shortage;
@@ -12,18 +15,22 @@
 use crate::body_buffer::BodyBuffer;
 use crate::choose;
 use crate::crashes::{self, Permission, TRIAL_POLL_MS};
-use crate::host::InFlight;
+use crate::host::{Host, InFlight};
 use crate::loads::Reservation;
 use crate::memory::MemoryGuard;
 use crate::named_limits;
 use crate::ports::{BackendResponse, Backends, CallFault, ResponseBody};
 use crate::reply::{Interrupted, Reply, ReplyData};
 use crate::serve::{Progress, RequestContext, Stage};
+use crate::stream::UNCOUNTED_BYTES;
 
 /// Maximum size of a response that is read completely before it is forwarded, so that the request
 /// can be retried if the connection breaks within the response.
 pub(crate) const MAX_BUFFERED_BYTES: usize = 1_024 * 1_024;
 
+/// Time until memory for a chunk is asked for again.
+const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 /// Sends the request to a backend and returns the reply; retries on other backends if the kind of
 /// the route allows it.
 pub async fn serve<B: Backends>(context: &RequestContext<B>) -> Reply {
@@ -108,10 +115,10 @@
                 context.failed_backends.borrow_mut().push(key);
                 failed_reply = Some(reply);
             }
-            Ok(Outcome::Unbuffered(head, start, body)) => {
+            Ok(Outcome::Unbuffered(head, start, rest)) => {
                 record_health(context, key, true);
                 host.connections.relieve(Shortage::BodyMemory);
-                return stream_rest(context, head, start, body, in_flight);
+                return stream_rest(context, head, start, rest, in_flight);
             }
             Err(fault) => {
                 if matches!(fault, CallFault::NotSent(_)) {
@@ -138,9 +145,16 @@
         body: ReplyData,
         is_framed: bool,
     },
-    /// The response is too long, or the host's memory is in use. Head, the bytes read so far in one or
-    /// two pieces, and the remaining body.
-    Unbuffered(Parts, Vec<ReplyData>, B),
+    /// The response is too long, or the host's memory is in use. Head, the bytes that were buffered, and
+    /// what follows them.
+    Unbuffered(Parts, ReplyData, Rest<B>),
+}
+
+/// The part of a body that is not buffered.
+struct Rest<B> {
+    /// Bytes that were read last.
+    chunk: Bytes,
+    body: B,
 }
 
 async fn read_response<B: ResponseBody>(
@@ -158,11 +172,9 @@
         let chunk = chunk.map_err(CallFault::Broken)?;
         let is_too_long = buffer.len() + chunk.len() > MAX_BUFFERED_BYTES;
         if is_too_long || !buffer.try_push(&chunk) {
-            let start = vec![
-                ReplyData::segmented(buffer.finish()),
-                ReplyData::from(chunk),
-            ];
-            return Ok(Outcome::Unbuffered(head, start, body));
+            let start = ReplyData::segmented(buffer.finish());
+            let rest = Rest { chunk, body };
+            return Ok(Outcome::Unbuffered(head, start, rest));
         }
     }
     if !is_framed && buffer.is_empty() {
@@ -179,36 +191,73 @@
 fn stream_rest<B: Backends>(
     context: &RequestContext<B>,
     head: Parts,
-    start: Vec<ReplyData>,
-    mut body: B::Body,
+    start: ReplyData,
+    rest: Rest<B::Body>,
     in_flight: InFlight<B>,
 ) -> Reply {
     let (sender, chunks) = mpsc::channel(1);
-    let memory = context.host.memory.clone();
+    let host = Rc::clone(&context.host);
     let deadline = context.deadline;
     tokio::task::spawn_local(async move {
         let _in_flight = in_flight;
-        for data in start {
-            if sender.send(Ok(data)).await.is_err() {
-                return;
-            }
-        }
-        // A chunk is read only when there is a place for it, so that few wait for a slow caller.
-        while let Ok(place) = sender.reserve().await {
-            // A body without end must not be forwarded beyond the deadline.
-            let chunk = timeout_at(deadline, body.chunk())
-                .await
-                .unwrap_or_else(|_| Some(Err("deadline passed within the body".to_owned())));
-            match chunk {
-                Some(Ok(bytes)) => place.send(Ok(ReplyData::counted(bytes, &memory))),
-                Some(Err(_)) => return place.send(Err(Interrupted)),
-                None => return,
-            }
+        if start.is_empty() || sender.send(Ok(start)).await.is_ok() {
+            forward_rest(&host, rest, &sender, deadline).await;
         }
     });
     Reply::streamed(head, chunks)
 }
 
+/// Forwards the rest of a body until it ends or the caller leaves.
+async fn forward_rest<B: Backends>(
+    host: &Host<B>,
+    rest: Rest<B::Body>,
+    caller: &mpsc::Sender<Result<ReplyData, Interrupted>>,
+    deadline: Instant,
+) {
+    let mut body = rest.body;
+    let mut read_chunk = Some(rest.chunk);
+    // A chunk is read only when there is a place for it, so that few wait for a slow caller.
+    while let Ok(place) = caller.reserve().await {
+        let next = async {
+            let chunk = match read_chunk.take() {
+                Some(chunk) => Ok(chunk),
+                None => body.chunk().await?,
+            };
+            Some(match chunk {
+                Ok(chunk) => Ok(reserve_chunk(host, chunk).await),
+                Err(_) => Err(Interrupted),
+            })
+        };
+        let data = tokio::select! {
+            // A body without end must not be forwarded beyond the deadline.
+            data = timeout_at(deadline, next) => data.unwrap_or(Some(Err(Interrupted))),
+            () = caller.closed() => None,
+        };
+        let Some(data) = data else {
+            return;
+        };
+        let is_interrupted = data.is_err();
+        place.send(data);
+        if is_interrupted {
+            return;
+        }
+    }
+}
+
+/// Waits for the memory of a chunk. One that is as small as those of ordinary responses goes on without.
+async fn reserve_chunk<B: Backends>(host: &Host<B>, chunk: Bytes) -> ReplyData {
+    loop {
+        if let Some(data) = ReplyData::copied(&chunk, &host.memory) {
+            return data;
+        }
+        host.connections.relieve(Shortage::BodyMemory);
+        if chunk.len() <= UNCOUNTED_BYTES {
+            return ReplyData::from(Bytes::copy_from_slice(&chunk));
+        }
+        sleep(MEMORY_RETRY_DELAY).await;
+    }
+}
+
 fn record_health<B: Backends>(
     context: &RequestContext<B>,
     key: crate::directory::BackendKey,
--- a/crates/yucca-serve/src/reply.rs
+++ b/crates/yucca-serve/src/reply.rs
@@ -87,14 +87,12 @@
         }
     }
 
-    /// Creates bytes that can't wait for memory; it is reserved for them if there is enough.
-    pub fn counted(bytes: Bytes, memory: &Memory) -> Self {
+    /// Copies bytes into memory that is reserved for them. Returns `None` if there is not enough. The bytes
+    /// themselves may keep a buffer that is much larger from being freed.
+    pub fn copied(bytes: &[u8], memory: &Memory) -> Option<Self> {
         let mut guard = memory.guard(Purpose::Response);
         let is_reserved = guard.grow(bytes.len());
-        Self {
-            _memory: is_reserved.then_some(guard),
-            ..Self::from(bytes)
-        }
+        is_reserved.then(|| Self::reserved(Bytes::copy_from_slice(bytes), guard))
     }
 
     /// Returns the number of bytes.
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -38,7 +38,7 @@
 const CHANNEL_CHUNKS: usize = 16;
 /// Size of events that are sent without memory, one at a time. It is above that of ordinary ones, so that
 /// streams go on while the memory for bodies is in use.
-const UNCOUNTED_BYTES: usize = 4 * 1_024;
+pub(crate) const UNCOUNTED_BYTES: usize = 4 * 1_024;
 /// Urgency of all generations on decode engines. An engine that preempts a generation for a more
 /// urgent one must prefill its entire prompt again, which delays all streams of the engine by more
 /// than the urgent one gains.
@@ -614,11 +614,22 @@
             None if events.is_at_boundary() => return StreamEnd::Complete,
             None => return StreamEnd::Broken("stream ended within an event".to_owned()),
         };
+        let needed_bytes = counted_bytes(events.bytes_to_push(bytes.len()));
+        let connections = &context.host.connections;
+        if !connections
+            .reserve_body(|| partial.resize(needed_bytes))
+            .await
+        {
+            return StreamEnd::Broken("memory for bodies is in use".to_owned());
+        }
         let complete = events.push(&bytes);
-        let counted_bytes = events.partial_bytes().saturating_sub(UNCOUNTED_BYTES);
-        if events.is_too_long() || !partial.resize(counted_bytes) {
+        // Its buffer is not held while the caller is slow.
+        drop(bytes);
+        if events.is_too_long() {
             return StreamEnd::Broken("event exceeds the size limit".to_owned());
         }
+        // A smaller size is always granted.
+        let _ = partial.resize(counted_bytes(events.capacity()));
         if complete.is_some() {
             let elapsed_ms = context.elapsed_ms();
             if opened.progress == Progress::Head {
@@ -640,6 +651,11 @@
     }
 }
 
+/// Returns the part of the buffer of an incomplete event for which memory is reserved.
+fn counted_bytes(buffer_bytes: usize) -> usize {
+    buffer_bytes.saturating_sub(UNCOUNTED_BYTES)
+}
+
 /// Records the time between two events of a stream, from which the decode speed of its engine is
 /// learned.
 fn record_gap<B: Backends>(context: &RequestContext<B>, key: BackendKey, gap_ms: u64) {
