--- a/crates/yucca-serve/src/metrics.rs
+++ b/crates/yucca-serve/src/metrics.rs
@@ -123,6 +123,8 @@
     pub connections: Gauge,
     /// Connections of callers that were not accepted.
     pub refused_connections: Counter,
+    /// Connections to the readiness and metrics ports that were closed to keep their limit.
+    pub closed_operator_connections: Counter,
     /// Requests counted for usage reports.
     pub usage_counted: Counter,
     /// Time windows whose usage the control API has taken from this host.
@@ -163,6 +165,7 @@
             refused_engine_orders: Family::default(),
             connections: Gauge::default(),
             refused_connections: Counter::default(),
+            closed_operator_connections: Counter::default(),
             closed_connections: Family::default(),
             memory: Family::default(),
             unreserved_memory: Gauge::default(),
@@ -343,6 +346,11 @@
             "Connections of callers that were closed to keep the limits",
             self.closed_connections.clone(),
         );
+        registry.register(
+            "closed_operator_connections",
+            "Connections to the readiness and metrics ports that were closed to keep their limit",
+            self.closed_operator_connections.clone(),
+        );
         registry.register_with_unit(
             "reserved_memory",
             "Memory reserved for bodies and connections",
