Keep some mapped segments for the next bodies

Callers saw: nothing. Cause: mapping the segments of each body cost processor time. Change: up to 512 KiB of mappings are kept, with their contents, for segments of the same size.

--- a/crates/yucca-serve/src/segment.rs
+++ b/crates/yucca-serve/src/segment.rs
@@ -1,6 +1,7 @@
 //! A piece of memory for a body, which is reserved as long as any of its bytes are referred to.
 
-use std::sync::LazyLock;
+use std::mem;
+use std::sync::{LazyLock, Mutex, PoisonError};
 
 use bytes::Bytes;
 use memmap2::MmapMut;
@@ -17,6 +18,13 @@
 /// Page size that is assumed if the kernel does not tell it.
 const DEFAULT_PAGE_BYTES: usize = 4 * 1_024;
 
+/// Total size of the mappings that are kept for the next segments. With them, ordinary bodies need no calls
+/// to the kernel for their memory.
+const MAX_FREE_BYTES: usize = 512 * 1_024;
+
+/// Mappings that are kept for the next segments, with their contents.
+static FREE: Mutex<Vec<MmapMut>> = Mutex::new(Vec::new());
+
 /// Size of a page of memory.
 static PAGE_BYTES: LazyLock<usize> = LazyLock::new(|| {
     let page_bytes = sysconf(SysconfVar::PAGE_SIZE).ok().flatten();
@@ -42,6 +50,24 @@
     mapped_bytes(bytes, page_bytes()).unwrap_or(bytes)
 }
 
+/// Returns pages of the given size. Their contents are undefined.
+fn map(bytes: usize) -> Option<MmapMut> {
+    let mut free = FREE.lock().unwrap_or_else(PoisonError::into_inner);
+    match free.iter().position(|pages| pages.len() == bytes) {
+        Some(index) => Some(free.swap_remove(index)),
+        None => MmapMut::map_anon(bytes).ok(),
+    }
+}
+
+/// Keeps pages for another segment, or returns them to the kernel.
+fn unmap(pages: MmapMut) {
+    let mut free = FREE.lock().unwrap_or_else(PoisonError::into_inner);
+    let free_bytes = free.iter().map(|pages| pages.len()).sum::<usize>();
+    if free_bytes + pages.len() <= MAX_FREE_BYTES {
+        free.push(pages);
+    }
+}
+
 #[derive(Debug)]
 enum Storage {
     Heap(Vec<u8>),
@@ -51,7 +77,6 @@
 /// Bytes of a body within memory of a fixed size.
 #[derive(Debug)]
 pub struct Segment {
-    // Freed before the memory is released.
     storage: Storage,
     memory: MemoryGuard,
 }
@@ -64,7 +89,7 @@
         }
         let storage = match mapped_bytes(bytes, page_bytes()) {
             Some(mapped_bytes) => Storage::Mapped {
-                pages: MmapMut::map_anon(mapped_bytes).ok()?,
+                pages: map(mapped_bytes)?,
                 len: 0,
             },
             None => Storage::Heap(Vec::with_capacity(bytes)),
@@ -127,6 +152,16 @@
     }
 }
 
+impl Drop for Segment {
+    fn drop(&mut self) {
+        // The memory is released after this.
+        let storage = mem::replace(&mut self.storage, Storage::Heap(Vec::new()));
+        if let Storage::Mapped { pages, .. } = storage {
+            unmap(pages);
+        }
+    }
+}
+
 impl AsRef<[u8]> for Segment {
     fn as_ref(&self) -> &[u8] {
         match &self.storage {
--- a/crates/yucca-serve/tests/body_buffer.rs
+++ b/crates/yucca-serve/tests/body_buffer.rs
@@ -110,3 +110,19 @@
     drop(buffer);
     assert_eq!(memory.used_bytes(), 0);
 }
+
+/// Guards against bytes of former bodies that show up in later ones, whose segments use the same pages.
+#[test]
+fn finish_after_other_bodies() {
+    let memory = Memory::new(PROCESS_BYTES);
+    for round in 0..20_u8 {
+        let bytes = 72 * 1_024 - usize::from(round) * 3_000;
+        let guard = memory.guard(Purpose::Request);
+        let mut buffer = BodyBuffer::new(guard, Some(bytes), MAX_BODY_BYTES);
+        assert!(buffer.try_push(&vec![round; bytes - 1]));
+        assert!(buffer.try_push(&[round]));
+        let body = buffer.finish().concat();
+        assert!(body.len() == bytes && body.iter().all(|byte| *byte == round));
+        assert_eq!(memory.used_bytes(), 0);
+    }
+}
