--- a/crates/yucca-entry/src/dispatch.rs
+++ b/crates/yucca-entry/src/dispatch.rs
@@ -43,7 +43,6 @@
     caller: Arc<CallerConnection>,
     request: Request<Incoming>,
 ) -> Result<CallerResponse, Infallible> {
-    caller.begin_request();
     let request_id = host.next_request_id();
     let mut response = match run(&host, &caller, &request_id, request).await {
         Ok(response) => response,
@@ -66,7 +65,10 @@
     request: Request<Incoming>,
 ) -> Result<CallerResponse, Problem> {
     let (parts, body) = request.into_parts();
-    let checked = request::check_headers(&parts, &host.limits).and_then(|()| admits_work(host));
+    let has_room = caller.begin_request().await;
+    let checked = request::check_headers(&parts, &host.limits)
+        .and_then(|()| admits_work(host))
+        .and_then(|()| has_room.then_some(()).ok_or_else(no_memory));
     if let Err(problem) = checked {
         let problem = unclaimed(&parts, problem);
         request_end::failed(host, request_id, request_end::NO_ENTRY, &problem);
@@ -99,8 +101,12 @@
     if caller.run_request().await {
         return Ok(body);
     }
+    Err(no_memory())
+}
+
+fn no_memory() -> Problem {
     let detail = "the host has no memory for another request";
-    Err(Problem::new(Code::Overloaded, detail))
+    Problem::new(Code::Overloaded, detail)
 }
 
 async fn run_chat(
--- a/crates/yucca-io/src/caller_body.rs
+++ b/crates/yucca-io/src/caller_body.rs
@@ -1,7 +1,6 @@
 //! Bodies in the host's memory, and reading the body of a caller's request within its own limit.
 
 use std::hash::{Hash, Hasher};
-use std::sync::Arc;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -12,16 +11,16 @@
 
 use crate::body_buffer::BodyBuffer;
 use crate::caller_connections::{CallerConnection, refusal_code};
-use crate::memory::{Memory, MemoryGuard};
+use crate::memory::Memory;
 
 /// Longest time for which the rest of a refused body is read, so that its caller gets the refusal.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// A complete body, with the memory that is reserved for it.
+/// A complete body. Its memory stays reserved as long as any of its bytes are referred to, also by a
+/// backend connection that has not sent them yet.
 #[derive(Debug, Clone, Default)]
 pub struct CallerBody {
     segments: Vec<Bytes>,
-    _memory: Option<Arc<MemoryGuard>>,
 }
 
 impl CallerBody {
@@ -62,10 +61,8 @@
 
 impl From<BodyBuffer> for CallerBody {
     fn from(buffer: BodyBuffer) -> Self {
-        let (segments, guard) = buffer.finish();
         Self {
-            segments,
-            _memory: Some(Arc::new(guard)),
+            segments: buffer.finish(),
         }
     }
 }
@@ -74,7 +71,6 @@
     fn from(bytes: Bytes) -> Self {
         Self {
             segments: vec![bytes],
-            _memory: None,
         }
     }
 }
--- a/crates/yucca-io/src/memory.rs
+++ b/crates/yucca-io/src/memory.rs
@@ -8,7 +8,8 @@
 use tokio::sync::futures::Notified;
 use yuccacove::memory_budget::{MemoryBudget, Purpose};
 
-/// Memory of a host for bodies and connections. Clones share it, also between threads.
+/// Memory of a host for bodies and connections. Clones share it, also between threads, because the
+/// bytes of a body may be released by any of them.
 #[derive(Debug, Clone)]
 pub struct Memory {
     shared: Arc<Shared>,
@@ -46,6 +47,16 @@
         self.lock().has_room(purpose, bytes)
     }
 
+    /// Records the resident memory of the process.
+    pub fn record_resident(&self, resident_bytes: usize) {
+        self.lock().record_resident(resident_bytes);
+    }
+
+    /// Returns the resident memory of the process beyond what was reserved, when it was last recorded.
+    pub fn unreserved_bytes(&self) -> usize {
+        self.lock().unreserved_bytes()
+    }
+
     /// Returns a guard that holds no memory yet.
     pub fn guard(&self, purpose: Purpose) -> MemoryGuard {
         MemoryGuard {
@@ -76,11 +87,15 @@
 }
 
 impl MemoryGuard {
+    /// Returns a guard for the same purpose that holds no memory yet.
+    pub fn empty(&self) -> Self {
+        self.memory.guard(self.purpose)
+    }
+
     /// Reserves `bytes` more. Returns `false`, and reserves none, if there is not enough memory.
     #[must_use]
     pub fn grow(&mut self, bytes: usize) -> bool {
-        let mut budget = self.memory.lock();
-        let is_reserved = budget.try_reserve(self.purpose, bytes);
+        let is_reserved = self.memory.lock().try_reserve(self.purpose, bytes);
         if is_reserved {
             self.bytes += bytes;
         }
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -60,4 +60,4 @@
 pub mod usage;
 
 pub use yucca_io::caller_connections as connections;
-pub use yucca_io::{body_buffer, caller_body, memory};
+pub use yucca_io::{body_buffer, caller_body, memory, segment};
--- a/crates/yucca-serve/src/metrics.rs
+++ b/crates/yucca-serve/src/metrics.rs
@@ -123,6 +123,8 @@
     pub connections: Gauge,
     /// Connections of callers that were not accepted.
     pub refused_connections: Counter,
+    /// Connections to the readiness and metrics ports that were closed to keep their limit.
+    pub closed_operator_connections: Counter,
     /// Requests counted for usage reports.
     pub usage_counted: Counter,
     /// Counted requests whose time window is not known.
@@ -141,6 +143,7 @@
     overload_refused: Family<ByReason, Counter>,
     closed_connections: Family<ByReason, Counter>,
     memory: Family<ByPurpose, Gauge>,
+    unreserved_memory: Gauge,
     /// Learned speeds of the engines.
     pub engine_speeds: EngineSpeeds,
     refused: Family<ByCode, Counter>,
@@ -164,8 +167,10 @@
             refused_engine_orders: Family::default(),
             connections: Gauge::default(),
             refused_connections: Counter::default(),
+            closed_operator_connections: Counter::default(),
             closed_connections: Family::default(),
             memory: Family::default(),
+            unreserved_memory: Gauge::default(),
             usage_counted: Counter::default(),
             usage_dropped: Counter::default(),
             usage_reported: Counter::default(),
@@ -231,6 +236,8 @@
             let gauge = self.memory.get_or_create(&label);
             gauge.set(as_gauge(memory.used_for(purpose)));
         }
+        let unreserved_bytes = memory.unreserved_bytes();
+        self.unreserved_memory.set(as_gauge(unreserved_bytes));
     }
 
     /// Counts a request that may have run and got no complete response.
@@ -347,12 +354,23 @@
             "Connections of callers that were closed to keep the limits",
             self.closed_connections.clone(),
         );
+        registry.register(
+            "closed_operator_connections",
+            "Connections to the readiness and metrics ports that were closed to keep their limit",
+            self.closed_operator_connections.clone(),
+        );
         registry.register_with_unit(
             "reserved_memory",
             "Memory reserved for bodies and connections",
             Unit::Bytes,
             self.memory.clone(),
         );
+        registry.register_with_unit(
+            "unreserved_memory",
+            "Resident memory beyond the reserved memory",
+            Unit::Bytes,
+            self.unreserved_memory.clone(),
+        );
         registry.register(
             "engine_speed",
             "Learned speeds of engines, relative to the published one",
--- a/crates/yucca-serve/src/reply.rs
+++ b/crates/yucca-serve/src/reply.rs
@@ -69,24 +69,30 @@
 }
 
 impl ReplyData {
-    /// Creates the bytes of a body for which memory is reserved.
-    pub fn reserved(segments: impl IntoIterator<Item = Bytes>, memory: MemoryGuard) -> Self {
+    /// Creates bytes for which memory is reserved.
+    pub fn reserved(bytes: Bytes, memory: MemoryGuard) -> Self {
+        Self {
+            _memory: Some(memory),
+            ..Self::from(bytes)
+        }
+    }
+
+    /// Creates the bytes of a body in segments, whose memory they hold themselves.
+    pub fn segmented(segments: impl IntoIterator<Item = Bytes>) -> Self {
         let mut segments = segments.into_iter().filter(|segment| !segment.is_empty());
         Self {
             first: segments.next().unwrap_or_default(),
             rest: segments.collect(),
-            _memory: Some(memory),
+            _memory: None,
         }
     }
 
-    /// Creates bytes that can't wait for memory; it is reserved for them if there is enough.
-    pub fn counted(bytes: Bytes, memory: &Memory) -> Self {
+    /// Copies bytes into memory that is reserved for them. Returns `None` if there is not enough. The bytes
+    /// themselves may keep a buffer that is much larger from being freed.
+    pub fn copied(bytes: &[u8], memory: &Memory) -> Option<Self> {
         let mut guard = memory.guard(Purpose::Response);
         let is_reserved = guard.grow(bytes.len());
-        Self {
-            _memory: is_reserved.then_some(guard),
-            ..Self::from(bytes)
-        }
+        is_reserved.then(|| Self::reserved(Bytes::copy_from_slice(bytes), guard))
     }
 
     /// Returns the number of bytes.
