Explain where a request would go with yuccactl explain --at

Operators could not see where a given request would go, and why. Hosts now answer POST /v1/explain on their operators' ports (readiness and metrics) with the candidates and their inputs and scores, what is excluded by which rule, and the decision for overload. They call the functions that serve requests, with the random numbers that the next request draws, and record nothing: the retry budget, the state of the decision and the random numbers are left as they are.

--- a/crates/yucca-serve/src/authentication.rs
+++ b/crates/yucca-serve/src/authentication.rs
@@ -5,6 +5,7 @@
 
 use crate::config::{Route, ServingConfig};
 use crate::host::Host;
+use crate::organisations::Organisation;
 use crate::request::Request;
 
 /// Checks the API key of a request, sets its organisation, and returns the rank of its requests.
@@ -28,16 +29,35 @@
     // Back ends must not learn the key.
     request.headers.remove(AUTHORIZATION);
     let api_key = request.api_key.take();
-    if route.is_public {
-        return Ok(route.urgency);
+    let find = || api_key.and_then(|api_key| config.organisations.find(&api_key));
+    let organisation = admit(host, config, route, find)?;
+    request.organisation = organisation.map(|o| o.name.clone());
+    Ok(rank(route, organisation))
+}
+
+/// Returns the organisation of a request, which `find` looks up; `None` if it needs none.
+///
+/// # Errors
+///
+/// As [`authenticate`].
+pub(crate) fn admit<'a, B>(
+    host: &Host<B>,
+    config: &ServingConfig,
+    route: &Route,
+    find: impl FnOnce() -> Option<&'a Organisation>,
+) -> Result<Option<&'a Organisation>, Code> {
+    if config.organisations.is_empty() || route.is_public {
+        return Ok(None);
     }
     // An older configuration may also lack a key that was added since.
     if !host.may_accept_keys() {
         return Err(Code::KeysUnproven);
     }
-    let organisation = api_key
-        .and_then(|api_key| config.organisations.find(&api_key))
-        .ok_or(Code::UnknownKey)?;
-    request.organisation = Some(organisation.name.clone());
-    Ok(organisation.urgency.unwrap_or(route.urgency))
+    find().map(Some).ok_or(Code::UnknownKey)
+}
+
+/// Returns the rank of the requests of an organisation on a route.
+pub(crate) fn rank(route: &Route, organisation: Option<&Organisation>) -> u8 {
+    let own = organisation.and_then(|organisation| organisation.urgency);
+    own.unwrap_or(route.urgency)
 }
--- a/crates/yucca-serve/src/caller_body.rs
+++ b/crates/yucca-serve/src/caller_body.rs
@@ -25,6 +25,17 @@
 }
 
 impl CallerBody {
+    /// Returns a body of `len` zero bytes. Its segments share one static array.
+    pub fn zeroed(len: usize) -> Self {
+        static ZEROS: [u8; 16 * 1_024] = [0; 16 * 1_024];
+        let mut segments = vec![Bytes::from_static(&ZEROS); len / ZEROS.len()];
+        segments.push(Bytes::from_static(&ZEROS[..len % ZEROS.len()]));
+        Self {
+            segments,
+            _memory: None,
+        }
+    }
+
     /// Returns the parts of the body in order.
     pub fn segments(&self) -> &[Bytes] {
         &self.segments
--- a/crates/yucca-serve/src/choose.rs
+++ b/crates/yucca-serve/src/choose.rs
@@ -4,7 +4,9 @@
 //! [`yuccacove::prompt_placement`], which makes the choice.
 
 use yuccacove::engine_speed::ServiceSpeed;
-use yuccacove::prompt_placement::{self, Choice, Delays, EngineView, Phase, Placement};
+use yuccacove::prompt_placement::{
+    self, Choice, Delays, EngineScores, EngineView, Phase, Placement,
+};
 
 use crate::directory::{Backend, BackendKey, Directory};
 use crate::hash::hash_of;
@@ -88,6 +90,21 @@
     now_ms: u64,
     draw: u64,
 ) -> Option<BackendKey> {
+    plain_costs(directory, service, zone, excluded, now_ms, draw)
+        .into_iter()
+        .min_by(|a, b| a.1.total_cmp(&b.1))
+        .map(|(key, _)| key)
+}
+
+/// Returns the backends of a plain service that may be chosen, with their costs.
+pub fn plain_costs(
+    directory: &Directory,
+    service: &str,
+    zone: &str,
+    excluded: &[BackendKey],
+    now_ms: u64,
+    draw: u64,
+) -> Vec<(BackendKey, f64)> {
     let cost = |key: BackendKey| {
         let backend = directory.get(key);
         let success_rate = 1.0 - backend.health.failure_rate();
@@ -101,9 +118,38 @@
         let tie_break = (rendezvous(directory, key, draw) % 1_000) as f64 / 10_000.0;
         (requests + 1.0 + zone_cost + tie_break) / success_rate.max(0.1).powi(FAILURE_POWER)
     };
-    eligible(directory, service, excluded, now_ms)
+    let keys = eligible(directory, service, excluded, now_ms);
+    keys.into_iter().map(|key| (key, cost(key))).collect()
+}
+
+/// An engine that may be chosen, with the inputs to the choice and its scores.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ScoredEngine {
+    /// The engine.
+    pub key: BackendKey,
+    /// Inputs to the choice.
+    pub view: EngineView,
+    /// Scores of the placements that use it.
+    pub scores: EngineScores,
+}
+
+/// Returns all engines among which [`engines`] chooses.
+pub fn scored_engines(
+    directory: &Directory,
+    input: &PlacementInput<'_>,
+    excluded: &[BackendKey],
+    now_ms: u64,
+) -> Vec<ScoredEngine> {
+    let candidates = Candidates::of(directory, input, excluded, now_ms);
+    let scores = prompt_placement::scores(&candidates.views, &candidates.prompt);
+    let engines = candidates
+        .keys
         .into_iter()
-        .min_by(|a, b| cost(*a).total_cmp(&cost(*b)))
+        .zip(candidates.views)
+        .zip(scores);
+    engines
+        .map(|((key, view), scores)| ScoredEngine { key, view, scores })
+        .collect()
 }
 
 /// Inputs to the choice of engines other than the directory.
--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -9,6 +9,7 @@
 
 use indexmap::IndexMap;
 use yuccacove::engine_speed::{PrefillSample, ServiceSpeed};
+use yuccacove::explanation::Rule;
 use yuccacove::passive_health::PassiveHealth;
 use yuccacove::prompt_placement::Phase;
 
@@ -171,6 +172,27 @@
         }
     }
 
+    /// Returns the rule by which the backend gets no new work while others serve; `None` if it serves.
+    pub fn exclusion(&self, now_ms: u64) -> Option<Rule> {
+        if self.is_serving(now_ms) {
+            return None;
+        }
+        Some(match self.registration {
+            Registration::Copied { .. } => Rule::EntryCopied,
+            Registration::Expired { .. } => Rule::EntryExpired,
+            Registration::Serving | Registration::Leaving { .. } => Rule::Leaving,
+        })
+    }
+
+    /// Returns the time since which the backend is leaving or gone; `None` if it is not.
+    pub fn left_since_ms(&self) -> Option<u64> {
+        match self.registration {
+            Registration::Leaving { since_ms } => Some(since_ms),
+            Registration::Expired { until_ms } => Some(until_ms),
+            Registration::Serving | Registration::Copied { .. } => None,
+        }
+    }
+
     /// Whether this is an engine that leaves because the platform takes it back, or was ordered away,
     /// and that has not ended yet.
     fn is_taken_back(&self, now_ms: u64) -> bool {
@@ -338,6 +360,14 @@
         self.select(service, |backend| backend.is_taken_back(now_ms))
     }
 
+    /// Returns the backends of `service` that serve, and those that left after `since_ms`.
+    pub fn recent(&self, service: &str, since_ms: u64) -> Vec<BackendKey> {
+        let is_recent = |left_ms: u64| left_ms >= since_ms;
+        self.select(service, |backend| {
+            backend.left_since_ms().is_none_or(is_recent)
+        })
+    }
+
     /// Returns the usable backends of `service` that want no requests from this host now.
     pub fn paused(&self, service: &str, now_ms: u64) -> Vec<BackendKey> {
         let mut keys = self.usable(service, now_ms);
--- a/crates/yucca-serve/src/held.rs
+++ b/crates/yucca-serve/src/held.rs
@@ -10,7 +10,7 @@
 use yuccacove::forecast;
 use yuccacove::hold_queue::{Precedence, Ticket};
 use yuccacove::output_length::OutputLength;
-use yuccacove::overload::{Ask, Decision, Overload, Reason};
+use yuccacove::overload::{Ask, Decision, Overload, Preview, Reason};
 
 /// Interval at which the first held request is considered for admission again.
 const HOLD_INTERVAL: Duration = Duration::from_millis(25);
@@ -47,25 +47,37 @@
     /// Returns the state for a service. [`Overload`] decides only where organisations share the engines;
     /// without them its holds of urgent requests cost callers of small fleets more than they gain.
     pub fn service(&self, service: &str, has_organisations: bool) -> Rc<ServiceOverload> {
-        let policy = self.fixed.unwrap_or(if has_organisations {
-            AdmissionPolicy::Overload
-        } else {
-            AdmissionPolicy::Forecast
-        });
+        let policy = self.policy(has_organisations);
         let known = self.services.borrow().get(service).cloned();
         if let Some(known) = known.filter(|known| known.policy == policy) {
             return known;
         }
-        let added = Rc::new(ServiceOverload {
-            policy,
-            ..ServiceOverload::default()
-        });
+        let added = Rc::new(ServiceOverload::new(policy));
         let mut services = self.services.borrow_mut();
         services.insert(service.to_owned(), Rc::clone(&added));
         added
     }
 }
 
+impl Overloads {
+    /// As [`Overloads::service`], without adding the state of a service that has none.
+    pub fn existing(&self, service: &str, has_organisations: bool) -> Rc<ServiceOverload> {
+        let policy = self.policy(has_organisations);
+        let known = self.services.borrow().get(service).cloned();
+        known
+            .filter(|known| known.policy == policy)
+            .unwrap_or_else(|| Rc::new(ServiceOverload::new(policy)))
+    }
+
+    fn policy(&self, has_organisations: bool) -> AdmissionPolicy {
+        self.fixed.unwrap_or(if has_organisations {
+            AdmissionPolicy::Overload
+        } else {
+            AdmissionPolicy::Forecast
+        })
+    }
+}
+
 /// State of the decision for one service.
 #[derive(Debug, Default)]
 pub struct ServiceOverload {
@@ -77,6 +89,25 @@
 }
 
 impl ServiceOverload {
+    fn new(policy: AdmissionPolicy) -> Self {
+        Self {
+            policy,
+            ..Self::default()
+        }
+    }
+
+    /// Returns what [`ServiceOverload::decide`] would decide, without recording anything.
+    pub fn preview(&self, ask: &Ask, now_ms: u64, random: u64) -> Preview {
+        match self.policy {
+            AdmissionPolicy::Overload => self.state.borrow().preview(ask, now_ms, random),
+            AdmissionPolicy::Forecast => Preview {
+                decision: decide_by_forecast(ask, random),
+                standing: None,
+                expected_wait_ms: None,
+            },
+        }
+    }
+
     /// Decides about a request. `random` is any random number.
     pub fn decide(&self, ask: &Ask, now_ms: u64, random: u64) -> Decision {
         match self.policy {
--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -359,6 +359,12 @@
         hash_of((self.draw_seed, draw))
     }
 
+    /// Returns the number that the call of [`Host::draw`] after `skipped` others will return, without
+    /// changing it.
+    pub fn future_draw(&self, skipped: u64) -> u64 {
+        hash_of((self.draw_seed, self.next_draw.get() + skipped))
+    }
+
     /// Announces a prefill to the other hosts.
     pub fn announce_prefill(&self, announcement: PrefillAnnouncement) {
         self.peers.announce_prefill(announcement);
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod directory;
 mod engine_reports;
 pub mod events;
+pub mod explain;
 pub mod follow;
 pub mod hash;
 pub mod held;
--- a/crates/yucca-serve/src/loads.rs
+++ b/crates/yucca-serve/src/loads.rs
@@ -290,6 +290,13 @@
         self.streams + fresh.map(|peer| peer.streams).sum::<u32>()
     }
 
+    /// Returns the age of the oldest announcement of another host that counts; `None` if there is none.
+    pub fn announced_age_ms(&self, now_ms: u64) -> Option<u64> {
+        let received = self.peer_streams.values().map(|peer| peer.received_ms);
+        let ages = received.map(|received_ms| now_ms.saturating_sub(received_ms));
+        ages.filter(|age_ms| *age_ms < PEER_TTL_MS).max()
+    }
+
     /// Returns the KV cache that the generations of all hosts occupy, in tokens.
     pub fn all_tokens(&self, now_ms: u64) -> u64 {
         let announced = self.peer_streams.values();
--- a/crates/yucca-serve/src/metrics.rs
+++ b/crates/yucca-serve/src/metrics.rs
@@ -135,6 +135,10 @@
     pub store_calls: Rc<StoreCalls>,
     /// Organisations over their share of the service that was decided about last.
     pub organisations_over: Gauge,
+    /// Questions of operators about placements that were answered.
+    pub explanations: Counter,
+    /// Those that were refused because there were too many.
+    pub refused_explanations: Counter,
     held: Family<ByReason, Counter>,
     overload_refused: Family<ByReason, Counter>,
     closed_connections: Family<ByReason, Counter>,
@@ -170,6 +174,8 @@
             usage_pending: Gauge::default(),
             store_calls: Rc::default(),
             organisations_over: Gauge::default(),
+            explanations: Counter::default(),
+            refused_explanations: Counter::default(),
             held: Family::default(),
             overload_refused: Family::default(),
             engine_speeds: EngineSpeeds::default(),
@@ -284,6 +290,16 @@
             "Orders for engines that were refused",
             self.refused_engine_orders.clone(),
         );
+        registry.register(
+            "explanations",
+            "Questions of operators about placements that were answered",
+            self.explanations.clone(),
+        );
+        registry.register(
+            "refused_explanations",
+            "Questions of operators about placements that were refused, as too many",
+            self.refused_explanations.clone(),
+        );
         registry.register(
             "usage_counted",
             "Requests counted for usage reports",
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -191,12 +191,25 @@
 }
 
 impl<B: Backends> RequestContext<B> {
+    /// Creates the context of a request that is served, and counts the request for the retry budget.
     fn new(
         host: &Rc<Host<B>>,
         request: Request,
         config: &ServingConfig,
         route: &Route,
         service: &str,
+    ) -> Self {
+        host.add_retry_credit(service);
+        Self::uncounted(host, request, config, route, service)
+    }
+
+    /// Creates the context of a request that is explained. It changes nothing in the host.
+    pub(crate) fn uncounted(
+        host: &Rc<Host<B>>,
+        request: Request,
+        config: &ServingConfig,
+        route: &Route,
+        service: &str,
     ) -> Self {
         let spec = config.services.get(service);
         let engine = spec.and_then(|s| s.engine);
@@ -204,7 +217,6 @@
         let received = Instant::now();
         let left_ms = request.deadline_ms.unwrap_or(u64::MAX);
         let limit_ms = left_ms.min(route.timeout_ms);
-        host.add_retry_credit(service);
         let crash_keys = crashes::keys(service, &request);
         Self {
             host: Rc::clone(host),
@@ -310,14 +322,18 @@
 
     /// Refuses a request for which no backend can be chosen.
     pub fn refuse_unplaced(&self) -> Reply {
+        self.refuse_with_retry_after(Code::NoBackend, self.unplaced_retry_after_ms())
+    }
+
+    /// Returns the time after which a caller may retry a request for which no backend can be chosen.
+    pub(crate) fn unplaced_retry_after_ms(&self) -> u64 {
         if let Some(left_ms) = self.shortest_pause_ms() {
-            return self.refuse_with_retry_after(Code::NoBackend, left_ms.max(RETRY_AFTER_MS));
+            return left_ms.max(RETRY_AFTER_MS);
         }
         if named_limits::exhausted(&self.host, &self.service, false).is_empty() {
-            return self.refuse(Code::NoBackend);
+            return RETRY_AFTER_MS;
         }
-        let retry_after_ms = named_limits::retry_after_ms(&self.host, &self.service);
-        self.refuse_with_retry_after(Code::NoBackend, retry_after_ms)
+        named_limits::retry_after_ms(&self.host, &self.service)
     }
 
     /// Returns the time until the first backend takes requests again; `None` if not all usable
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -273,7 +273,7 @@
 }
 
 /// Returns the inputs to the decision about a generation on the chosen engines.
-fn ask<B: Backends>(
+pub(crate) fn ask<B: Backends>(
     context: &RequestContext<B>,
     overload: &ServiceOverload,
     choice: &EngineChoice,
@@ -343,6 +343,15 @@
 fn with_input<B: Backends, T>(
     context: &RequestContext<B>,
     select: impl FnOnce(&Directory, &PlacementInput<'_>, &[BackendKey]) -> T,
+) -> T {
+    with_drawn_input(context, context.host.draw(), select)
+}
+
+/// As [`with_input`], with the random number that spreads the choices of the hosts.
+pub(crate) fn with_drawn_input<B: Backends, T>(
+    context: &RequestContext<B>,
+    draw: u64,
+    select: impl FnOnce(&Directory, &PlacementInput<'_>, &[BackendKey]) -> T,
 ) -> T {
     let host = &context.host;
     let input = PlacementInput {
@@ -354,7 +363,7 @@
         tokens_per_event: context.engine.tokens_per_event,
         slots: context.engine.slots,
         kv_tokens: context.engine.kv_tokens,
-        draw: host.draw(),
+        draw,
     };
     let excluded = context.excluded_backends();
     select(&host.directory.borrow(), &input, &excluded)
--- a/crates/yuccactl/src/command.rs
+++ b/crates/yuccactl/src/command.rs
@@ -1,11 +1,14 @@
 //! Parsing of the command line, help texts and exit codes.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::str::FromStr;
 
 use lexopt::{Arg, Parser, ValueExt};
 use yuccacove::code::Code;
 use yuccacove::error::{Error, Result};
+use yuccacove::explanation::Question;
 
 /// A subcommand with its arguments.
 #[derive(Debug)]
@@ -78,6 +81,17 @@
     pub zone: Option<String>,
 }
 
+/// A question to a host about where a request would go.
+#[derive(Debug)]
+pub struct PlacementQuestion {
+    /// Operators' port of the host.
+    pub at: SocketAddr,
+    /// The question.
+    pub question: Question,
+    /// Whether to print the answer as JSON.
+    pub is_json: bool,
+}
+
 /// A command and the settings file that it uses.
 #[derive(Debug)]
 pub struct Invocation {
@@ -94,15 +108,25 @@
     Print(String),
     /// Run a command.
     Run(Invocation),
+    /// Ask a host, for which no settings are needed.
+    ExplainPlacement(PlacementQuestion),
 }
 
+/// Name of the two commands that explain.
+const EXPLAIN: &str = "explain";
+/// Arguments of the one that explains a request which is not sent.
+const EXPLAIN_ARGUMENTS: &str = "--at ADDRESS (--route NAME | --host NAME --path PATH) \
+                                 [--organisation NAME] [--tokens N] [--parts ID:N,...] \
+                                 [--output-tokens N] [--body-bytes N] [--rank N] [--deadline-ms N] \
+                                 [--request-id ID] [--json]";
+
 struct Subcommand {
     name: &'static str,
     arguments: &'static str,
     about: &'static str,
 }
 
-const SUBCOMMANDS: [Subcommand; 11] = [
+const SUBCOMMANDS: [Subcommand; 12] = [
     Subcommand {
         name: "check",
         arguments: "FILE",
@@ -159,10 +183,18 @@
         arguments: "REQUEST_ID",
         about: "print the decisions of all entry hosts about a request",
     },
+    Subcommand {
+        name: EXPLAIN,
+        arguments: EXPLAIN_ARGUMENTS,
+        about: "print where a request would go now and why, without sending it; ADDRESS is the \
+                operators' port of a yucca-platform host, and --settings is not needed",
+    },
 ];
 
 /// Exit code for an error: 2 for invalid usage or settings, 3 for a conflicting write, 4 for a
-/// violated catalogue rule, 1 for any other failure.
+/// violated catalogue rule, 5 for a host that does not answer, 6 for one without a configuration, 7
+/// for an unknown route, 8 for an unknown organisation, 9 for a host that answers no more questions
+/// for a moment, 1 for any other failure.
 pub fn exit_code(code: Code) -> u8 {
     match code {
         Code::BadUsage
@@ -173,6 +205,11 @@
         | Code::SettingsOverlap => yucca_io::cli::EXIT_USAGE,
         Code::CatalogueConflict => 3,
         Code::CatalogueRule => 4,
+        Code::HostUnreachable => 5,
+        Code::HostNotConfigured => 6,
+        Code::UnknownRoute => 7,
+        Code::UnknownOrganisation => 8,
+        Code::QuestionsLimited => 9,
         _ => 1,
     }
 }
@@ -185,9 +222,96 @@
     force: bool,
     hour: Option<u64>,
     csv: bool,
+    explain: ExplainOptions,
     positional: Vec<String>,
 }
 
+/// Options of the command that explains a request which is not sent.
+#[derive(Default)]
+struct ExplainOptions {
+    at: Option<SocketAddr>,
+    question: Question,
+    is_json: bool,
+    /// The first option that was given, for error messages.
+    first: Option<String>,
+}
+
+impl ExplainOptions {
+    /// Reads the option `name`. Returns whether there is one of this name.
+    fn read(&mut self, name: &str, parser: &mut Parser) -> Result<bool> {
+        let question = &mut self.question;
+        match name {
+            "at" => self.at = Some(number(name, parser)?),
+            "json" => self.is_json = true,
+            "route" => question.route = Some(string_value(parser)?),
+            "host" => question.host = Some(string_value(parser)?),
+            "path" => question.path = Some(string_value(parser)?),
+            "organisation" => question.organisation = Some(string_value(parser)?),
+            "request-id" => question.request_id = Some(string_value(parser)?),
+            "tokens" => question.tokens = Some(number(name, parser)?),
+            "parts" => question.parts = Some(string_value(parser)?),
+            "output-tokens" => question.output_tokens = number(name, parser)?,
+            "body-bytes" => question.body_bytes = number(name, parser)?,
+            "rank" => question.rank = Some(number(name, parser)?),
+            "deadline-ms" => question.deadline_ms = Some(number(name, parser)?),
+            _ => return Ok(false),
+        }
+        self.first.get_or_insert_with(|| format!("--{name}"));
+        Ok(true)
+    }
+}
+
+/// Reads the value of the option `name`, which is a number or an address.
+fn number<T: FromStr<Err: Display>>(name: &str, parser: &mut Parser) -> Result<T> {
+    let text = string_value(parser)?;
+    let value = text.parse();
+    value.map_err(|error| bad_usage(&format!("--{name} {text}: {error}")))
+}
+
+/// Returns the question to a host; `None` if another command is given.
+fn placement_question(arguments: &mut Arguments) -> Result<Option<PlacementQuestion>> {
+    let name = arguments.positional.first().map(String::as_str);
+    let Some(first) = &arguments.explain.first else {
+        return Ok(None);
+    };
+    let synopsis = || format!("usage: yuccactl {EXPLAIN} {EXPLAIN_ARGUMENTS}");
+    if name != Some(EXPLAIN) {
+        return Err(bad_usage(&format!(
+            "{first} is an option of {EXPLAIN}; {}",
+            synopsis()
+        )));
+    }
+    let has_other_options = arguments.address.is_some()
+        || arguments.zone.is_some()
+        || arguments.force
+        || arguments.hour.is_some()
+        || arguments.csv;
+    if has_other_options || arguments.positional.len() > 1 {
+        return Err(bad_usage(&synopsis()));
+    }
+    let options = std::mem::take(&mut arguments.explain);
+    let at = options
+        .at
+        .ok_or_else(|| bad_usage(&format!("--at is missing; {}", synopsis())))?;
+    let question = options.question;
+    let has_route = matches!(
+        (&question.route, &question.host, &question.path),
+        (Some(_), None, None) | (None, Some(_), Some(_))
+    );
+    if !has_route {
+        let detail = format!("either --route, or --host and --path; {}", synopsis());
+        return Err(bad_usage(&detail));
+    }
+    question
+        .prompt_tokens()
+        .map_err(|problem| bad_usage(&problem.message))?;
+    Ok(Some(PlacementQuestion {
+        at,
+        question,
+        is_json: options.is_json,
+    }))
+}
+
 /// Parses the command line.
 ///
 /// # Errors
@@ -222,9 +346,20 @@
             Arg::Value(value) => arguments
                 .positional
                 .push(value.string().map_err(parse_error)?),
-            other => return Err(parse_error(other.unexpected())),
+            Arg::Long(name) => {
+                let name = name.to_owned();
+                if !arguments.explain.read(&name, &mut parser)? {
+                    return Err(parse_error(lexopt::Error::UnexpectedOption(format!(
+                        "--{name}"
+                    ))));
+                }
+            }
+            other @ Arg::Short(_) => return Err(parse_error(other.unexpected())),
         }
     }
+    if let Some(question) = placement_question(&mut arguments)? {
+        return Ok(Request::ExplainPlacement(question));
+    }
     let command = parse_command(&arguments)?;
     let settings = arguments.settings;
     let settings = settings.ok_or_else(|| bad_usage("--settings FILE is missing"))?;
@@ -278,7 +413,7 @@
             hour: arguments.hour,
             csv: arguments.csv,
         },
-        ("explain", [request]) => Command::Explain {
+        (EXPLAIN, [request]) => Command::Explain {
             request: (*request).to_owned(),
         },
         _ => return Err(synopsis_error(subcommand)),
@@ -307,7 +442,9 @@
              \x20 --settings FILE  settings of the fleet (INI)\n\
              \x20 -h, --help       print this help, or the help of the command given before it\n\
              \x20 -V, --version    print the version\n\n\
-             exit codes: 0 done, 1 failed, 2 wrong usage or settings, 3 conflict, 4 rule violated\n";
+             exit codes: 0 done, 1 failed, 2 wrong usage or settings, 3 conflict, 4 rule violated, 5 host\n\
+             does not answer, 6 host without a configuration, 7 unknown route, 8 unknown organisation,\n\
+             9 too many questions to a host\n";
     text
 }
 
--- a/crates/yuccactl/src/lib.rs
+++ b/crates/yuccactl/src/lib.rs
@@ -27,5 +27,6 @@
 pub mod backend;
 pub mod command;
 pub mod costs;
+pub mod explain;
 pub mod session;
 pub mod view;
--- a/crates/yuccactl/src/main.rs
+++ b/crates/yuccactl/src/main.rs
@@ -6,7 +6,7 @@
 use yuccacove::error::Result;
 use yuccactl::command::{Command, Invocation, Request, exit_code, parse};
 use yuccactl::session::Session;
-use yuccactl::{apply, backend, costs, view};
+use yuccactl::{apply, backend, costs, explain, view};
 
 fn main() -> ExitCode {
     let result = match parse(lexopt::Parser::from_env()) {
@@ -15,6 +15,7 @@
             Ok(())
         }
         Ok(Request::Run(invocation)) => run(invocation),
+        Ok(Request::ExplainPlacement(question)) => explain::explain(&question),
         Err(error) => Err(error),
     };
     match result {
--- a/crates/yuccactl/src/view.rs
+++ b/crates/yuccactl/src/view.rs
@@ -169,14 +169,22 @@
 
 /// Prints rows as a table, each column as wide as its widest cell.
 pub(crate) fn print_table(rows: &[Vec<String>]) {
+    for line in table_lines(rows) {
+        print_line!("{line}");
+    }
+}
+
+/// Returns the lines of a table, each column as wide as its widest cell.
+pub(crate) fn table_lines(rows: &[Vec<String>]) -> Vec<String> {
     let columns = rows.first().map_or(0, Vec::len);
     let width = |column: usize| rows.iter().map(|row| row[column].len()).max().unwrap_or(0);
     let widths: Vec<usize> = (0..columns).map(width).collect();
-    for row in rows {
+    let line = |row: &Vec<String>| {
         let cells = row.iter().zip(&widths);
         let line: Vec<String> = cells
             .map(|(cell, width)| format!("{cell:<width$}"))
             .collect();
-        print_line!("{}", line.join("  ").trim_end());
-    }
+        line.join("  ").trim_end().to_owned()
+    };
+    rows.iter().map(line).collect()
 }
--- a/src/code.rs
+++ b/src/code.rs
@@ -107,4 +107,9 @@
     StoreUnavailable = 4104, "store_unavailable", 0, Unknown, "The object API does not answer.";
     ObjectMissing = 4105, "object_missing", 0, NotRun, "The object does not exist.";
     WorkRunning = 4106, "work_running", 0, NotRun, "Work still runs on the back end.";
+    HostUnreachable = 4107, "host_unreachable", 0, Unknown, "The host does not answer.";
+    HostNotConfigured = 4108, "host_not_configured", 0, NotRun, "The host has no configuration yet.";
+    UnknownRoute = 4109, "unknown_route", 0, NotRun, "No route of the host's configuration matches the question.";
+    UnknownOrganisation = 4110, "unknown_organisation", 0, NotRun, "The host's configuration has no organisation of that name.";
+    QuestionsLimited = 4111, "questions_limited", 0, NotRun, "The host answers no more questions for a moment.";
 }
--- a/src/fair_shares.rs
+++ b/src/fair_shares.rs
@@ -84,6 +84,18 @@
     Ahead,
 }
 
+impl Standing {
+    /// Returns the standing's name in explanations.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Under => "under",
+            Self::Fair => "fair",
+            Self::Over => "over",
+            Self::Ahead => "ahead",
+        }
+    }
+}
+
 /// Decayed number of requests and how many of them were admitted.
 #[derive(Debug, Default, Clone, Copy)]
 struct Account {
@@ -181,7 +193,7 @@
 }
 
 /// Recent work of all organisations and kinds of one service.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct FairShares {
     decayed_ms: u64,
     all: Account,
--- a/src/hold_queue.rs
+++ b/src/hold_queue.rs
@@ -42,7 +42,7 @@
 }
 
 /// Requests that are held for one service.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct HoldQueue {
     tickets: BTreeSet<Ticket>,
     next_number: u64,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod engine_speed;
 pub mod error;
 pub mod event;
+pub mod explanation;
 pub mod fair_shares;
 pub mod fleet_clock;
 pub mod fleet_rate;
--- a/src/overload.rs
+++ b/src/overload.rs
@@ -124,8 +124,20 @@
     }
 }
 
+/// A decision that was not recorded.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Preview {
+    /// The decision.
+    pub decision: Decision,
+    /// Standing of the request; `None` if the forecast alone decides.
+    pub standing: Option<Standing>,
+    /// Expected time until the turn of a request that is held; `None` if it is not held, or if held
+    /// requests have no order.
+    pub expected_wait_ms: Option<u64>,
+}
+
 /// State of the decision for one service on one host.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct Overload {
     /// Recent work of organisations and kinds.
     pub shares: FairShares,
@@ -161,6 +173,24 @@
         decision
     }
 
+    /// Returns what [`Overload::decide`] would decide, without recording anything.
+    pub fn preview(&self, ask: &Ask, now_ms: u64, random: u64) -> Preview {
+        let mut copy = self.clone();
+        let standing = copy.shares.standing(&ask.asker, now_ms);
+        let decision = copy.decision(ask, now_ms, random);
+        let expected_wait_ms = match decision {
+            Decision::Hold { precedence, .. } => {
+                Some(copy.queue.expected_wait_ms(precedence, now_ms) as u64)
+            }
+            Decision::Admit | Decision::Refuse { .. } => None,
+        };
+        Preview {
+            decision,
+            standing: Some(standing),
+            expected_wait_ms,
+        }
+    }
+
     fn decision(&mut self, ask: &Ask, now_ms: u64, random: u64) -> Decision {
         let forecast = &ask.forecast;
         let spent_ms = self.spent_ms(ask);
--- a/src/prompt_placement.rs
+++ b/src/prompt_placement.rs
@@ -20,6 +20,10 @@
 //! assert_eq!(choice.placement, Placement::OneStage { decode: 1 });
 //! ```
 
+mod scores;
+
+pub use scores::{EngineScores, scores};
+
 /// Prefill throughput of an engine with speed 1.0, in prompt tokens per millisecond, without the
 /// cost of attention and before any learned correction.
 pub const PREFILL_TOKENS_PER_MS: f64 = 64.0;
