--- a/crates/yucca-serve/src/explain.rs
+++ b/crates/yucca-serve/src/explain.rs
@@ -1,7 +1,8 @@
 //! Explains where a request would go, without sending it and without changing what happens to others.
 //!
 //! The functions that serve requests are called with the state of the host at that moment. Random
-//! numbers are those that the next request will draw.
+//! numbers are those that the next request will draw. As before each request, what backends have said
+//! of themselves since the last one is applied.
 
 use std::cmp::Ordering;
 use std::rc::Rc;
