--- a/crates/yuccactl/tests/commands.rs
+++ b/crates/yuccactl/tests/commands.rs
@@ -468,3 +468,200 @@
     let status = child.wait().expect("an exit code");
     assert_eq!((status.code(), fleet.store.writes()), (Some(0), 4));
 }
+
+/// Runs `yuccactl explain` with no settings file, and returns its exit code, output and errors.
+fn explain(arguments: &[&str]) -> (Option<i32>, String, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_yuccactl"));
+    let output = command.arg("explain").args(arguments).output();
+    let output = output.expect("an output");
+    let out = String::from_utf8_lossy(&output.stdout).into_owned();
+    let err = String::from_utf8_lossy(&output.stderr).into_owned();
+    (output.status.code(), out, err)
+}
+
+/// The answer of a host with one engine that may be chosen, and one that may not.
+fn explanation() -> Value {
+    json!({
+        "answered_by": "front-1", "zone": "a", "config_version": 3, "route": "ask",
+        "kind": "stream", "service": "model", "weights": { "model": 1 }, "organisation": "north",
+        "rank": 1, "left_ms": 3000, "target_ms": 300, "prompt_tokens": 100,
+        "outcome": {
+            "outcome": "held", "reason": "reserved", "standing": "fair", "expected_wait_ms": 40,
+            "max_wait_ms": 1500,
+        },
+        "choice": {
+            "backend": "gen-1", "prefill": null, "prefix_source": null,
+            "forecast": {
+                "first_token_ms": 12.5, "prefill_ms": 3.1, "prefill_queue_ms": 0.0,
+                "decode_utilisation": 0.97, "urgent_target_ms": 250, "work_ms": 10.0,
+            },
+        },
+        "candidate_count": 1,
+        "candidates": [{
+            "backend": "gen-1", "zone": "a", "score": 12.5, "failure_rate": 0.25,
+            "is_avoided": false, "is_draining": false, "own_requests": 2,
+            "engine": {
+                "phase": "decode", "one_stage_score": 12.5, "two_stage_score": null, "streams": 62,
+                "slots": 64, "load_age_ms": 30, "kv_use": 0.5, "pending_ms": 0.0, "stall_ms": 0.0,
+                "cached_tokens": 60, "prefill_speed": 1.0, "decode_speed": 0.9,
+            },
+        }],
+        "excluded_by_rule": { "paused": 1 },
+        "excluded": [{ "backend": "gen-2", "zone": "b", "rule": "paused" }],
+    })
+}
+
+/// Guards against a question that is sent without what the operator gave, and against output without
+/// the inputs, the excluded engine or the wait.
+#[test]
+fn explain_prints_answer() {
+    let asked = Arc::new(Mutex::new(Vec::new()));
+    let seen = Arc::clone(&asked);
+    let host = serve(move |method, url, _, body| {
+        let question: Value = serde_json::from_str(body).expect("JSON");
+        let mut seen = seen.lock().expect("a lock");
+        seen.push((format!("{method} {url}"), question));
+        (200, explanation())
+    });
+    let at = host.to_string();
+    let mut arguments = vec!["--at", &at, "--host", "shop.example", "--path", "/ask/1"];
+    arguments.extend([
+        "--organisation",
+        "north",
+        "--parts",
+        "5c1e:60",
+        "--tokens",
+        "100",
+    ]);
+    arguments.extend([
+        "--output-tokens",
+        "20",
+        "--rank",
+        "1",
+        "--deadline-ms",
+        "3000",
+    ]);
+    arguments.extend(["--body-bytes", "400", "--request-id", "r1"]);
+    let (code, out, err) = explain(&arguments);
+    assert_eq!(code, Some(0), "{out}{err}");
+    for text in [
+        "host front-1, zone a, configuration 3: route ask, service model",
+        "rank 1, 3000 ms left, target 300 ms, organisation north, prompt of 100 tokens",
+        "held: reserved; waits about 40 ms, 1500 ms at most, standing fair",
+        "62/64",
+        "30ms",
+        "excluded: paused 1",
+        "gen-2",
+    ] {
+        assert!(out.contains(text), "{text} is not in\n{out}");
+    }
+    arguments.push("--json");
+    let (code, out, _) = explain(&arguments);
+    assert_eq!(code, Some(0));
+    let printed: Value = serde_json::from_str(&out).expect("JSON");
+    assert_eq!(printed, explanation());
+    let expected = json!({
+        "host": "shop.example", "path": "/ask/1", "organisation": "north", "parts": "5c1e:60",
+        "tokens": 100, "output_tokens": 20, "rank": 1, "deadline_ms": 3000, "body_bytes": 400,
+        "request_id": "r1",
+    });
+    let expected = ("POST /v1/explain".to_owned(), expected);
+    assert_eq!(*asked.lock().expect("a lock"), [expected.clone(), expected]);
+}
+
+/// Guards against exit codes that let a script confuse a host that is down with a wrong question, and
+/// against a crash or a wait without end.
+#[test]
+fn explain_exit_code_of_each_failure() {
+    let answers = [
+        ("bad_question", 400, 2, "4101 "),
+        ("no_configuration", 503, 6, "4108 "),
+        ("unknown_route", 404, 7, "4109 "),
+        ("unknown_organisation", 404, 8, "4110 "),
+        ("too_many", 429, 9, "4111 "),
+        ("other", 500, 5, "4107 "),
+    ];
+    for (error, status, exit_code, text) in answers {
+        let problem = json!({ "error": error, "message": "the reason" });
+        let host = serve(move |_, _, _, _| (status, problem.clone()));
+        let (code, _, err) = explain(&["--at", &host.to_string(), "--route", "ask"]);
+        assert_eq!(code, Some(exit_code), "{error}: {err}");
+        assert!(err.contains(text), "{error}: {err}");
+        assert!(
+            error == "other" || err.contains("the reason"),
+            "{error}: {err}"
+        );
+    }
+    // A host of an older version responds to all paths.
+    let old = serve(|_, _, _, _| (200, json!("")));
+    let closed = closed_port();
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let silent = listener.local_addr().expect("an address");
+    for at in [old, closed, silent] {
+        let (code, _, err) = explain(&["--at", &at.to_string(), "--route", "ask"]);
+        assert_eq!(code, Some(5), "{err}");
+        assert!(
+            err.contains("4107 ") && err.contains(&at.to_string()),
+            "{err}"
+        );
+    }
+}
+
+/// Guards against wrong input that is sent to a host, or taken for the other command `explain`.
+#[test]
+fn explain_bad_usage() {
+    let cases: [(&[&str], &str); 14] = [
+        (&[], "usage: "),
+        (&["--route", "ask"], "--at is missing"),
+        (&["--at", "front-1", "--route", "ask"], "--at front-1: "),
+        (
+            &["--at", "127.0.0.1:9"],
+            "either --route, or --host and --path",
+        ),
+        (&["--at", "127.0.0.1:9", "--host", "a"], "either --route"),
+        (
+            &["--at", "127.0.0.1:9", "--route", "a", "--path", "/"],
+            "either --route",
+        ),
+        (&["--at", "127.0.0.1:9", "--route", "a", "r1"], "usage: "),
+        (&["--at", "127.0.0.1:9", "--route", "a", "--csv"], "usage: "),
+        (
+            &["--at", "127.0.0.1:9", "--route", "a", "--tokens", "-1"],
+            "--tokens -1: ",
+        ),
+        (
+            &["--at", "127.0.0.1:9", "--route", "a", "--rank", "256"],
+            "--rank 256: ",
+        ),
+        (
+            &["--at", "127.0.0.1:9", "--route", "a", "--parts", "x"],
+            "part `x`: ",
+        ),
+        (
+            &[
+                "--at",
+                "127.0.0.1:9",
+                "--route",
+                "a",
+                "--parts",
+                "5c:9",
+                "--tokens",
+                "8",
+            ],
+            "more than the 8 of the prompt",
+        ),
+        (&["--at", "127.0.0.1:9", "--route"], "missing argument"),
+        (&["--colour"], "--colour"),
+    ];
+    for (arguments, text) in cases {
+        let (code, _, err) = explain(arguments);
+        assert_eq!(code, Some(2), "{arguments:?}: {err}");
+        assert!(
+            err.contains("4101 ") && err.contains(text),
+            "{arguments:?}: {err}"
+        );
+    }
+    let fleet = Fleet::new();
+    let (_, err) = fleet.expect(&["status", "--tokens", "1"], 2);
+    assert!(err.contains("--tokens is an option of explain"), "{err}");
+}
