--- a/crates/yucca-serve/tests/explain.rs
+++ b/crates/yucca-serve/tests/explain.rs
@@ -13,6 +13,7 @@
 use yucca_serve::explain::explain;
 use yucca_serve::host::Host;
 use yucca_serve::loads::Reservation;
+use yucca_serve::named_limits;
 use yucca_serve::organisations::{ApiKey, Organisation, Organisations};
 use yucca_serve::request::Request;
 use yucca_serve::serve::serve;
@@ -118,13 +119,14 @@
         for round in 0..40u32 {
             let id = ["gen-1", "gen-2"][round as usize % 2];
             add_streams(&host, id, round % 5, 300);
-            let mut directory = host.directory.borrow_mut();
-            let gen_1 = directory.find("gen-1").expect("an engine");
-            directory
-                .get_mut(gen_1)
-                .health
-                .record_response(round % 3 != 0);
-            drop(directory);
+            {
+                let mut directory = host.directory.borrow_mut();
+                let gen_1 = directory.find("gen-1").expect("an engine");
+                directory
+                    .get_mut(gen_1)
+                    .health
+                    .record_response(round % 3 != 0);
+            }
             let explanation = explain(&host, &generation_question()).expect("an answer");
             assert!(
                 matches!(explanation.outcome, Outcome::Placed { .. }),
@@ -363,15 +365,39 @@
                 .candidates
                 .is_sorted_by(|a, b| a.score <= b.score)
         );
-        // Excluded ones that are used for lack of others are candidates, and marked.
+        // A back end that is avoided is a candidate for lack of others, and is marked.
         let mut directory = host.directory.borrow_mut();
-        for id in ["gen-1", "gen-2", "paused", "full"] {
+        for id in ["gen-1", "gen-2", "read-1", "paused", "full"] {
             directory.apply_removal(id, 4, now_ms - 1_000);
         }
         drop(directory);
         let explanation = explain(&host, &generation_question()).expect("an answer");
-        let away = explanation.candidates.iter().find(|c| c.backend == "away");
-        assert!(away.is_none_or(|away| away.is_avoided), "{away:?}");
+        let candidates: Vec<_> = explanation.candidates.iter().collect();
+        assert!(
+            matches!(candidates[..], [away] if away.backend == "away" && away.is_avoided),
+            "{candidates:?}"
+        );
+    });
+}
+
+/// Guards against an engine at its rate limit that is a candidate, or excluded without this rule.
+#[test]
+fn explain_rate_limit() {
+    run_virtual(async {
+        let host = serving_host(route(STREAM, 2));
+        let gen_1 = key(&host, "gen-1");
+        for _ in 0..5 {
+            named_limits::record_response(&host, gen_1, Some(1.0), host.now_ms());
+            named_limits::record_request(&host, gen_1);
+            named_limits::ask(&host, gen_1);
+        }
+        let exhausted = named_limits::exhausted(&host, "model", true);
+        assert_eq!(exhausted, [gen_1], "the limit must be used up");
+        let explanation = explain(&host, &generation_question()).expect("an answer");
+        assert_eq!(rules(&explanation), [("gen-1", Rule::RateLimit)]);
+        let named = chosen(&explanation);
+        assert!(!named.contains(&"gen-1".to_owned()), "{named:?}");
+        assert_eq!(send(&host, generation()).await, (named, 200));
     });
 }
 
@@ -579,12 +605,13 @@
             weight: 1,
         });
         let host = serving_host(split);
-        let mut directory = host.directory.borrow_mut();
-        for number in 0..200u8 {
-            let id = format!("more-{number}");
-            directory.apply_entry(&id, 2, entry("model", number, Phase::Decode), 0);
+        {
+            let mut directory = host.directory.borrow_mut();
+            for number in 0..200u8 {
+                let id = format!("more-{number}");
+                directory.apply_entry(&id, 2, entry("model", number, Phase::Decode), 0);
+            }
         }
-        drop(directory);
         let explanation = explain(&host, &generation_question()).expect("an answer");
         assert_eq!(explanation.candidates.len(), MAX_LISTED);
         assert_eq!(explanation.candidate_count, 203);
--- a/tests/explanation.rs
+++ b/tests/explanation.rs
@@ -5,7 +5,9 @@
 use yuccacove::fair_shares::Asker;
 use yuccacove::forecast::Forecast;
 use yuccacove::overload::{Ask, Decision, Overload, Preview};
-use yuccacove::prompt_placement::{EngineView, Phase, Placement, Prompt, choose, scores};
+use yuccacove::prompt_placement::{
+    EngineScores, EngineView, Phase, Placement, Prompt, choose, scores,
+};
 
 /// Multiplier of Knuth's linear congruential generator modulo 2^64.
 const MULTIPLIER: u64 = 6_364_136_223_846_793_005;
@@ -64,7 +66,7 @@
         };
         let lowest = scores
             .iter()
-            .filter_map(|s| s.best())
+            .filter_map(EngineScores::best)
             .fold(f64::INFINITY, f64::min);
         let chosen = match choice.placement {
             Placement::TwoStage { prefill, decode } => vec![prefill, decode],
