--- a/crates/yuccactl/src/command.rs
+++ b/crates/yuccactl/src/command.rs
@@ -422,9 +422,13 @@
 }
 
 fn help(name: Option<&str>) -> String {
-    if let Some(subcommand) = SUBCOMMANDS.iter().find(|s| Some(s.name) == name) {
-        let about = subcommand.about;
-        return format!("{}\n\n{about}\n", synopsis(subcommand));
+    // Two commands have the name `explain`.
+    let named = SUBCOMMANDS.iter().filter(|s| Some(s.name) == name);
+    let texts: Vec<String> = named
+        .map(|subcommand| format!("{}\n\n{}\n", synopsis(subcommand), subcommand.about))
+        .collect();
+    if !texts.is_empty() {
+        return texts.join("\n");
     }
     let mut text = String::from(
         "yuccactl: edits the catalogue and shows the fleet\n\n\
@@ -452,6 +456,9 @@
     let Subcommand {
         name, arguments, ..
     } = subcommand;
+    if *arguments == EXPLAIN_ARGUMENTS {
+        return format!("usage: yuccactl {name} {arguments}");
+    }
     format!("usage: yuccactl --settings FILE {name} {arguments}")
 }
 
--- a/crates/yuccactl/tests/commands.rs
+++ b/crates/yuccactl/tests/commands.rs
@@ -661,6 +661,13 @@
             "{arguments:?}: {err}"
         );
     }
+    let (code, out, _) = explain(&["--help"]);
+    assert_eq!(code, Some(0));
+    assert!(out.contains("explain REQUEST_ID\n"), "{out}");
+    assert!(
+        out.contains("usage: yuccactl explain --at ADDRESS"),
+        "{out}"
+    );
     let fleet = Fleet::new();
     let (_, err) = fleet.expect(&["status", "--tokens", "1"], 2);
     assert!(err.contains("--tokens is an option of explain"), "{err}");
