--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod directory;
 mod engine_reports;
 pub mod events;
+pub mod explain;
 pub mod follow;
 pub mod hash;
 pub mod held;
