Take the resident memory out of yucca-entry's budget again

The tests of the entry program run it within their own process, whose resident memory is not the program's: read_served_beside_unread_responses failed.

--- a/crates/yucca-entry/src/callers.rs
+++ b/crates/yucca-entry/src/callers.rs
@@ -14,7 +14,6 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 use yucca_io::caller_connections::CallerConnection;
-use yucca_io::resident_memory::resident_bytes;
 use yuccacove::code::Code;
 use yuccacove::connection_budget::{Shortage, Timeouts};
 use yuccacove::memory_budget::Purpose;
@@ -139,15 +138,7 @@
         progress_ms: host.limits.progress_timeout_ms,
     };
     let connections = host.connections.clone();
-    connections
-        .check(|| timeouts, || record_resident_memory(&host))
-        .await;
-}
-
-fn record_resident_memory(host: &Host) {
-    if let Some(resident_bytes) = resident_bytes() {
-        host.memory.record_resident(resident_bytes);
-    }
+    connections.check(|| timeouts, || ()).await;
 }
 
 /// Rejects a connection over the connection limit without reading from it.
