Log the organisation and the prompt's size where a request ends

Operators could not tell from the logs by organisation or by size what callers got: no line had either. The lines at the end of a request (E202, E203, E204, E206) now name both. Lines of plain requests also name the route, as those of generations did.

--- a/crates/yucca-serve/src/plain.rs
+++ b/crates/yucca-serve/src/plain.rs
@@ -308,10 +308,12 @@
     log::write(
         Event::Finished,
         &format!(
-            "request={} status={} elapsed_ms={}",
+            "request={} route={} status={} elapsed_ms={}{}",
             context.request.id,
+            context.route.name,
             reply.head.status.as_u16(),
-            context.elapsed_ms()
+            context.elapsed_ms(),
+            context.usage_fields()
         ),
     );
     reply
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -508,6 +508,15 @@
         }
     }
 
+    /// Returns the fields of a log line that tell by organisation and by size which requests are served.
+    pub(crate) fn usage_fields(&self) -> String {
+        let organisation = self.request.organisation.as_deref();
+        let organisation = organisation.map(|name| format!(" organisation={name}"));
+        let prompt = self.request.prompt.as_ref();
+        let tokens = prompt.map(|prompt| format!(" tokens={}", prompt.tokens));
+        organisation.unwrap_or_default() + &tokens.unwrap_or_default()
+    }
+
     /// Creates the final reply to a request without a response of a backend. The reply states that
     /// the request was not run only if that is certain.
     pub fn refuse(&self, code: Code) -> Reply {
@@ -519,7 +528,8 @@
     pub fn refuse_overloaded(&self, retry_after_ms: u64, cause: &str) -> Reply {
         let code = Code::DeadlineUnreachable;
         let (host, id) = (&self.host, &self.request.id);
-        refuse_because(host, id, code, Some(retry_after_ms), cause)
+        let cause = format!("{cause}{}", self.usage_fields());
+        refuse_because(host, id, code, Some(retry_after_ms), &cause)
     }
 
     /// Like [`RequestContext::refuse`], with the time after which the caller may retry.
@@ -533,7 +543,8 @@
             };
             // A request that crashes backends is not to come again.
             let retry_after_ms = (code != Code::SuspectRefused).then_some(retry_after_ms);
-            return refuse(host, &self.request.id, code, retry_after_ms);
+            let id = &self.request.id;
+            return refuse_because(host, id, code, retry_after_ms, &self.usage_fields());
         }
         let code = match code {
             Code::DeadlineExceeded | Code::BackendFailed => code,
@@ -541,10 +552,11 @@
         };
         host.metrics.record_failure(code);
         let fields = format!(
-            "request={} code={} ran=unknown elapsed_ms={}",
+            "request={} code={} ran=unknown elapsed_ms={}{}",
             self.request.id,
             code.number(),
-            self.elapsed_ms()
+            self.elapsed_ms(),
+            self.usage_fields()
         );
         log::write(Event::Failed, &fields);
         Reply::refusal(code, None)
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -469,10 +469,11 @@
     log::write(
         Event::Failed,
         &format!(
-            "request={} status={} elapsed_ms={}",
+            "request={} status={} elapsed_ms={}{}",
             context.request.id,
             head.status.as_u16(),
-            context.elapsed_ms()
+            context.elapsed_ms(),
+            context.usage_fields()
         ),
     );
     Reply::complete(head, ReplyData::segmented(buffer.finish()))
@@ -518,14 +519,15 @@
         let target = context.host.target(opened.key);
         let fields = format!(
             "request={} route={} back_end={} last_event={:?} first_event_ms={} max_gap_ms={} \
-             elapsed_ms={}",
+             elapsed_ms={}{}",
             context.request.id,
             context.route.name,
             target.id,
             events.last_id(),
             times.first_ms.unwrap_or(0),
             times.max_gap_ms,
-            context.elapsed_ms()
+            context.elapsed_ms(),
+            context.usage_fields()
         );
         match end {
             StreamEnd::Complete => {
