Explain the decision for overload of plain requests

yuccactl explain said that a plain request would be sent at once although the decision for overload, which now applies to plain services as well, would have held or refused it. The explanation now previews that decision, and names the longest hold of the service. A candidate names the rule that excludes it: expired entries were shown as leaving. explain_flood_refused_unsent compares 400 explanations of a flood with what is then done.

--- a/crates/yucca-serve/src/explain.rs
+++ b/crates/yucca-serve/src/explain.rs
@@ -27,6 +27,7 @@
 use crate::host::Host;
 use crate::named_limits::{self, GRANT_WAIT_MS};
 use crate::organisations::Organisation;
+use crate::plain_admission;
 use crate::ports::Backends;
 use crate::request::{Prompt, PromptPart, Request};
 use crate::serve::{RETRY_AFTER_MS, RequestContext};
@@ -257,7 +258,9 @@
     let preview = overload.preview(&ask, now_ms, host.future_draw(1));
     explanation.choice = Some(engine_choice(host, &choice, &ask));
     let limited = choice.prefill.unwrap_or(choice.decode);
-    Some(outcome(&preview, &ask, max_grant_wait_ms(host, limited)))
+    let max_hold_ms = overload.max_hold_ms(&ask.forecast);
+    let max_grant_wait_ms = max_grant_wait_ms(host, limited);
+    Some(outcome(&preview, max_hold_ms, max_grant_wait_ms))
 }
 
 /// Adds the backends of a plain service to an explanation. Returns the outcome; `None` if no backend
@@ -268,17 +271,14 @@
 ) -> Option<Outcome> {
     let host = &context.host;
     let now_ms = host.now_ms();
-    let excluded = context.excluded_backends();
+    let has_organisations = host.has_organisations();
+    let overload = host
+        .overloads
+        .existing_plain(&context.service, has_organisations);
+    // The decision takes two random numbers before the back end is chosen.
+    let draw = if overload.is_some() { 2 } else { 0 };
+    let costs = plain_costs(context, draw);
     let directory = host.directory.borrow();
-    let mut costs = choose::plain_costs(
-        &directory,
-        &context.service,
-        &host.deployment.zone,
-        &excluded,
-        now_ms,
-        host.future_draw(0),
-    );
-    costs.sort_by(|a, b| a.1.total_cmp(&b.1));
     let candidates = costs
         .iter()
         .map(|(key, cost)| candidate(&directory, *key, Some(*cost), None, now_ms));
@@ -294,10 +294,34 @@
         forecast: None,
     });
     drop(directory);
-    Some(Outcome::Placed {
-        max_grant_wait_ms: max_grant_wait_ms(host, key),
-        standing: None,
-    })
+    let max_grant_wait_ms = max_grant_wait_ms(host, key);
+    let Some(overload) = overload else {
+        return Some(Outcome::Placed {
+            max_grant_wait_ms,
+            standing: None,
+        });
+    };
+    let (asked, _) = *plain_costs(context, 0).first()?;
+    let ask = plain_admission::ask(context, &overload, asked, None);
+    let decisions = &overload.decisions;
+    let preview = decisions.preview(&ask, now_ms, host.future_draw(1));
+    let max_hold_ms = decisions.max_hold_ms(&ask.forecast);
+    Some(outcome(&preview, max_hold_ms, max_grant_wait_ms))
+}
+
+/// Returns the backends of a plain service with their costs, the one with the least cost first.
+fn plain_costs<B: Backends>(context: &RequestContext<B>, draw: u64) -> Vec<(BackendKey, f64)> {
+    let host = &context.host;
+    let mut costs = choose::plain_costs(
+        &host.directory.borrow(),
+        &context.service,
+        &host.deployment.zone,
+        &context.excluded_backends(),
+        host.now_ms(),
+        host.future_draw(draw),
+    );
+    costs.sort_by(|a, b| a.1.total_cmp(&b.1));
+    costs
 }
 
 /// Adds the backends of the service that are not among `candidates`, each with the first rule that
@@ -362,7 +386,7 @@
         score: score.unwrap_or_default(),
         failure_rate: backend.health.failure_rate(),
         is_avoided: backend.health.is_avoided(now_ms) || backend.is_unavailable(now_ms),
-        is_draining: backend.exclusion(now_ms).is_some(),
+        excluded_by: backend.exclusion(now_ms),
         own_requests: backend.load.requests + backend.load.streams,
         engine,
     }
@@ -407,7 +431,7 @@
     }
 }
 
-fn outcome(preview: &Preview, ask: &Ask, max_grant_wait_ms: u64) -> Outcome {
+fn outcome(preview: &Preview, max_hold_ms: u64, max_grant_wait_ms: u64) -> Outcome {
     let standing = preview.standing.map(|standing| standing.name().to_owned());
     match preview.decision {
         Decision::Admit => Outcome::Placed {
@@ -418,7 +442,7 @@
             reason: reason.name().to_owned(),
             standing,
             expected_wait_ms: preview.expected_wait_ms,
-            max_wait_ms: ask.forecast.max_hold_ms(),
+            max_wait_ms: max_hold_ms,
         },
         Decision::Refuse {
             retry_after_ms,
--- a/crates/yucca-serve/src/held.rs
+++ b/crates/yucca-serve/src/held.rs
@@ -66,6 +66,17 @@
         decides.then(|| self.plain_state(service))
     }
 
+    /// As [`Overloads::plain`], without adding the state of a service that has none.
+    pub fn existing_plain(
+        &self,
+        service: &str,
+        has_organisations: bool,
+    ) -> Option<Rc<PlainOverload>> {
+        let decides = self.policy(has_organisations) == AdmissionPolicy::Overload;
+        let known = || self.plain.borrow().get(service).cloned();
+        decides.then(|| known().unwrap_or_default())
+    }
+
     /// Returns the state for the plain requests to a service, whether or not [`Overload`] decides.
     pub fn plain_state(&self, service: &str) -> Rc<PlainOverload> {
         let mut plain = self.plain.borrow_mut();
--- a/crates/yucca-serve/src/plain_admission.rs
+++ b/crates/yucca-serve/src/plain_admission.rs
@@ -66,7 +66,7 @@
     };
     let mut held: Option<Held> = None;
     loop {
-        // The caller refuses it for that.
+        // `plain::serve` refuses such a request.
         if context.crashes_backends() {
             return Ok(None);
         }
@@ -221,7 +221,8 @@
     }
 }
 
-fn ask<B: Backends>(
+/// Returns the input of the decision about a request that would be sent to the back end `key`.
+pub(crate) fn ask<B: Backends>(
     context: &RequestContext<B>,
     overload: &PlainOverload,
     key: BackendKey,
@@ -247,7 +248,7 @@
             urgency: context.route.urgency,
             tokens: 0,
         },
-        forecast: forecast.of_request(&request),
+        forecast: forecast.for_request(&request),
         work_ms: forecast.service_ms.max(MIN_WORK_MS),
         ticket: held.map(|held| held.ticket),
     }
--- a/crates/yucca-serve/tests/plain_admission.rs
+++ b/crates/yucca-serve/tests/plain_admission.rs
@@ -8,6 +8,7 @@
 use http::StatusCode;
 use tokio::task::spawn_local;
 use yucca_serve::config::{RouteKind, ServingConfig};
+use yucca_serve::explain::explain;
 use yucca_serve::host::Host;
 use yucca_serve::organisations::{ApiKey, Organisation, Organisations};
 use yucca_serve::plain_admission::measure;
@@ -15,6 +16,7 @@
 use yucca_serve::reply::Reply;
 use yucca_serve::request::Request;
 use yucca_serve::serve::serve;
+use yuccacove::explanation::{Outcome, Question};
 
 const SERVERS: [&str; 2] = ["desk-1", "desk-2"];
 
@@ -133,6 +135,43 @@
     });
 }
 
+/// Guards against an explanation that says that a request is sent although the decision refuses it.
+#[test]
+fn explain_flood_refused_unsent() {
+    run_virtual(async {
+        let host = host(true);
+        let served = Step::Respond(200, vec![Chunk::Bytes(40, "ok")]);
+        for _ in 0..500 {
+            script(&host, &served, 1);
+            script(&host, &full(), 3);
+        }
+        let question = Question {
+            route: Some("r".to_owned()),
+            organisation: Some("hule".to_owned()),
+            deadline_ms: Some(4_000),
+            ..Question::default()
+        };
+        let mut refused = 0;
+        for _ in 0..400 {
+            let explanation = explain(&host, &question).expect("an explanation");
+            let before = host.backends.calls.borrow().len();
+            let task_host = Rc::clone(&host);
+            let task = spawn_local(async move { send(&task_host, "hule").await });
+            wait_ms(15).await;
+            let is_unsent = host.backends.calls.borrow().len() == before;
+            match explanation.outcome {
+                Outcome::Placed { .. } => assert!(!is_unsent, "{:?}", explanation.choice),
+                Outcome::Held { .. } | Outcome::Refused { .. } => {
+                    assert!(is_unsent, "{:?}", explanation.outcome);
+                    refused += 1;
+                }
+            }
+            drop(task);
+        }
+        assert!(refused >= 100, "{refused}");
+    });
+}
+
 /// A duration that includes a pause of the process must not count as a service time.
 #[test]
 fn measure_pause() {
--- a/crates/yuccactl/src/explain.rs
+++ b/crates/yuccactl/src/explain.rs
@@ -6,7 +6,7 @@
 use yuccacove::error::{Error, Result};
 use yuccacove::explanation::{
     Candidate, Choice, EXPLAIN_PATH, EngineInputs, EnginePhase, Explanation, Outcome, Problem,
-    ProblemKind,
+    ProblemKind, Rule,
 };
 
 use crate::command::PlacementQuestion;
@@ -215,15 +215,9 @@
         }
     }
     cells.push(format!("{:.2}", candidate.failure_rate));
-    let notes = [
-        ("avoided", candidate.is_avoided),
-        ("leaving", candidate.is_draining),
-    ];
-    let notes: Vec<_> = notes
-        .iter()
-        .filter(|(_, is_so)| *is_so)
-        .map(|(note, _)| *note)
-        .collect();
+    let avoided = candidate.is_avoided.then_some("avoided");
+    let excluded_by = candidate.excluded_by.map(Rule::name);
+    let notes: Vec<_> = avoided.into_iter().chain(excluded_by).collect();
     cells.push(if notes.is_empty() {
         "-".to_owned()
     } else {
--- a/crates/yuccactl/tests/commands.rs
+++ b/crates/yuccactl/tests/commands.rs
@@ -499,7 +499,7 @@
         "candidate_count": 1,
         "candidates": [{
             "backend": "gen-1", "zone": "a", "score": 12.5, "failure_rate": 0.25,
-            "is_avoided": false, "is_draining": false, "own_requests": 2,
+            "is_avoided": false, "excluded_by": null, "own_requests": 2,
             "engine": {
                 "phase": "decode", "one_stage_score": 12.5, "two_stage_score": null, "streams": 62,
                 "slots": 64, "load_age_ms": 30, "kv_use": 0.5, "pending_ms": 0.0, "stall_ms": 0.0,
--- a/src/explanation.rs
+++ b/src/explanation.rs
@@ -256,8 +256,8 @@
     pub failure_rate: f64,
     /// Whether it failed a connection or a request a moment ago, and is used for lack of others.
     pub is_avoided: bool,
-    /// Whether it leaves, and is used for lack of others.
-    pub is_draining: bool,
+    /// Rule that excludes it as long as others serve; `None` if it serves.
+    pub excluded_by: Option<Rule>,
     /// Requests of this host in flight.
     pub own_requests: u32,
     /// Inputs for an engine; `None` for a plain backend.
--- a/src/plain_load.rs
+++ b/src/plain_load.rs
@@ -117,7 +117,7 @@
 impl PlainForecast {
     /// Returns the input of the decision for overload about a request. The response takes the place
     /// of the first token, the queue of the back end that of the prefill queue.
-    pub fn of_request(&self, request: &PlainRequest) -> Forecast {
+    pub fn for_request(&self, request: &PlainRequest) -> Forecast {
         Forecast {
             first_token_ms: self.response_ms,
             elapsed_ms: request.elapsed_ms,
@@ -174,6 +174,7 @@
 impl PlainLoad {
     /// Records a response.
     pub fn record_completion(&mut self, completion: &Completion, now_ms: u64) {
+        self.forget(now_ms);
         let is_shortage = self.is_shortage(now_ms);
         let took_ms = completion.took_ms;
         let known = self.kinds.get(&completion.kind).copied();
@@ -200,7 +201,6 @@
         if is_shortage {
             self.adjust_window(waited_ms > service_ms * MAX_QUEUE_SERVICES, completion);
         }
-        self.forget(now_ms);
     }
 
     fn adjust_window(&mut self, is_too_long: bool, completion: &Completion) {
--- a/tests/plain_overload.rs
+++ b/tests/plain_overload.rs
@@ -123,7 +123,7 @@
                 urgency: caller.kind as u8,
                 tokens: 0,
             },
-            forecast: forecast.of_request(&request),
+            forecast: forecast.for_request(&request),
             work_ms: forecast.service_ms,
             ticket,
         }
