--- a/src/engine_demand.rs
+++ b/src/engine_demand.rs
@@ -460,10 +460,15 @@
     /// will need, so that it stays the same.
     pub fn idle_need(&self, found: u32, now_ms: u64) -> Option<Need> {
         let is_idle = self.first_demand_ms.is_none() && self.observed_ms(now_ms) >= IDLE_MS;
+        let Floors {
+            pool,
+            reserve: least_reserve,
+            ..
+        } = self.floors;
         let found = f64::from(found);
-        let reserve = (found * IDLE_RESERVE_SHARE).max(MIN_RESERVE);
+        let reserve = (found * IDLE_RESERVE_SHARE).max(least_reserve);
         // The band is for needs that change.
-        let all = (found / BAND).max(MIN_POOL);
+        let all = (found / BAND).max(pool);
         is_idle.then_some(Need {
             whole: all,
             firm: all,
@@ -472,7 +477,7 @@
         })
     }
 
-    /// Returns how engines may be given back, after the time for which demand was observed.
+    /// Returns how engines may be given back, which depends on how long demand has been observed.
     pub fn lowering(&self, now_ms: u64) -> Lowering {
         let observed_ms = self.observed_ms(now_ms);
         let demand_ms = self
