Decay the counters of overload before a decision

A decision used counters of the last one: after a quiet minute the Retry-After of the first refused caller came from a burst long ago. Found by reading; tests/overload.rs passes.

--- a/src/overload.rs
+++ b/src/overload.rs
@@ -201,8 +201,8 @@
     /// Decides about a request. `random` is any random number; it spreads the retries of refused
     /// callers.
     pub fn decide(&mut self, ask: &Ask, now_ms: u64, random: u64) -> Decision {
-        let decision = self.decision(ask, now_ms, random);
         self.decay(now_ms);
+        let decision = self.decision(ask, now_ms, random);
         match decision {
             Decision::Admit => {
                 self.admitted += 1.0;
@@ -223,6 +223,7 @@
     /// Returns what [`Overload::decide`] would decide, without recording anything.
     pub fn preview(&self, ask: &Ask, now_ms: u64, random: u64) -> Preview {
         let mut copy = self.clone();
+        copy.decay(now_ms);
         let standing = copy.shares.standing(&ask.asker, now_ms);
         let decision = copy.decision(ask, now_ms, random);
         let expected_wait_ms = match decision {
