Name skipped windows after a restore to a store without reports

Windows that hosts were told of were skipped without a log line if the restored store had no report at all. At most the last 60 are named. Found by reading; tests/usage_window.rs passes.

--- a/src/usage_window.rs
+++ b/src/usage_window.rs
@@ -28,6 +28,9 @@
 pub const MAX_PENDING: usize = 24;
 /// Pause after the first call that failed; it doubles with each further one.
 const FIRST_PAUSE_MS: u64 = 250;
+/// Number of windows before the last announced one for which it is told that there is no report. Hosts keep
+/// no copies of older ones.
+const MAX_NAMED_WINDOWS: u64 = 60;
 /// Longest pause after a call that failed.
 const MAX_PAUSE_MS: u64 = 4_000;
 /// Pause before a report is sent again that was refused for its content.
@@ -404,7 +407,7 @@
         };
         let lost = copies.iter().filter(|(w, _)| Some(**w) > reports.highest);
         for (window, report) in lost {
-            // What was called precedes.
+            // A report that this host may have sent takes precedence over a copy.
             let composed = self.composed.entry(*window);
             composed.or_insert_with(|| report.clone());
         }
@@ -501,11 +504,13 @@
         let Some((reports, _)) = &self.stored else {
             return ranges;
         };
-        let (Some(highest), Some(Some(named))) = (reports.highest, self.remembered) else {
+        let Some(Some(named)) = self.remembered else {
             return ranges;
         };
+        let oldest = named.saturating_sub(MAX_NAMED_WINDOWS);
+        let first = reports.highest.map_or(oldest, |highest| highest + 1);
         let is_missing = |window: &u64| !self.composed.contains_key(window);
-        for window in (highest + 1..=named).filter(is_missing) {
+        for window in (first.max(oldest)..=named).filter(is_missing) {
             match ranges.last_mut() {
                 Some((_, last)) if *last + 1 == window => *last = window,
                 _ => ranges.push((window, window)),
