--- a/crates/yucca-entry/src/dispatch.rs
+++ b/crates/yucca-entry/src/dispatch.rs
@@ -65,10 +65,11 @@
     request: Request<Incoming>,
 ) -> Result<CallerResponse, Problem> {
     let (parts, body) = request.into_parts();
-    let has_room = caller.begin_request().await;
-    let checked = request::check_headers(&parts, &host.limits)
-        .and_then(|()| admits_work(host))
-        .and_then(|()| has_room.then_some(()).ok_or_else(no_memory));
+    let mut checked = request::check_headers(&parts, &host.limits).and_then(|()| admits_work(host));
+    // A request that is refused anyway must not close other connections.
+    if checked.is_ok() && !caller.begin_request().await {
+        checked = Err(no_memory());
+    }
     if let Err(problem) = checked {
         let problem = unclaimed(&parts, problem);
         request_end::failed(host, request_id, request_end::NO_ENTRY, &problem);
