--- a/crates/yucca-entry/src/caller_io.rs
+++ b/crates/yucca-entry/src/caller_io.rs
@@ -12,7 +12,7 @@
 use yuccacove::connection_budget::Shortage;
 
 /// Longest read. `hyper` doubles its read buffer after a read that fills it, 8 KiB at first.
-const MAX_READ_BYTES: usize = 8 * 1_024 - 1;
+const MAX_CALLER_READ_BYTES: usize = 8 * 1_024 - 1;
 /// Part of a head that fits into the memory that each connection reserves.
 const RESERVED_HEAD_BYTES: usize = 8 * 1_024;
 /// Allocated bytes for each byte of a longer head: a buffer doubles when it grows.
@@ -82,7 +82,7 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let limit = buffer.remaining().min(MAX_READ_BYTES);
+        let limit = buffer.remaining().min(MAX_CALLER_READ_BYTES);
         let mut part = ReadBuf::new(buffer.initialize_unfilled_to(limit));
         match Pin::new(&mut self.stream).poll_read(cx, &mut part) {
             Poll::Pending => Poll::Pending,
--- a/crates/yucca-entry/src/chat_memory.rs
+++ b/crates/yucca-entry/src/chat_memory.rs
@@ -14,8 +14,8 @@
 const TEXT_COPIES: usize = 4;
 /// Copies of the values of a body.
 const VALUE_COPIES: usize = 2;
-/// Memory of a JSON value for each bracket, comma and colon before it. A value takes 32 bytes, an array
-/// doubles when it grows, and an object has keys.
+/// Memory assumed for each JSON value; brackets, commas and colons are counted to bound their number. A value
+/// takes 32 bytes; array growth and object keys take the rest.
 const VALUE_BYTES: usize = 64;
 /// Step in which the memory for the text of a response is reserved.
 const RESPONSE_STEP_BYTES: usize = 4 * 1_024;
--- a/crates/yucca-serve/src/departed.rs
+++ b/crates/yucca-serve/src/departed.rs
@@ -4,8 +4,8 @@
 
 use crate::revision::era_of;
 
-/// Maximum number of backends that are remembered. With 10,000 spot engines a day, the oldest one left
-/// about ten hours ago, and no list or message is as old.
+/// Maximum number of backends that are remembered. With 10,000 spot engines a day these are the last
+/// eight hours at least; lists and messages are newer.
 const MAX_DEPARTED: usize = 4_096;
 
 /// What an entry of a backend without a record means.
@@ -36,7 +36,7 @@
     /// Remembers a backend whose entry was removed at `revision`.
     pub(crate) fn record(&mut self, id_hash: u64, revision: u64, started_ms: u64) {
         if self.by_hash.len() >= MAX_DEPARTED {
-            // Several at a time, because the others move up.
+            // Removes an eighth at once, because each removal shifts the remaining entries.
             self.by_hash.drain(..MAX_DEPARTED / 8);
         }
         let departure = Departure {
--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -133,7 +133,8 @@
         }
     }
 
-    /// Whether nothing refers to the record any more.
+    /// Whether the record may be removed: its entry was removed at least [`RETENTION_MS`] ago, and no request
+    /// or prefill of this host is in progress there.
     fn is_removable(&self, now_ms: u64) -> bool {
         let since_ms = self.unlisted_since_ms;
         let is_past = since_ms.is_some_and(|since_ms| now_ms >= since_ms + RETENTION_MS);
--- a/crates/yucca-serve/src/scaling.rs
+++ b/crates/yucca-serve/src/scaling.rs
@@ -100,6 +100,15 @@
     Stopped,
 }
 
+/// Engines that were there before the first order.
+#[derive(Debug, Default, Clone, Copy)]
+struct FoundEngines {
+    /// Most engines that were left after the loss of any zone's spot engines.
+    remaining: u32,
+    /// Since when there have not been more.
+    since_ms: u64,
+}
+
 /// State of a service under one epoch.
 struct ServiceState {
     zones: Vec<String>,
@@ -108,9 +117,7 @@
     planner: Planner,
     orders: ScaleOrders,
     history: NeedHistory,
-    /// Most engines that were left after the loss of any zone's spot engines before the first order, and
-    /// since when there have not been more.
-    found: (u32, u64),
+    found: FoundEngines,
     pause: Option<Pause>,
     /// Whether anything was ordered under this epoch.
     has_ordered: bool,
@@ -125,7 +132,7 @@
             is_priced,
             orders: ScaleOrders::default(),
             history: NeedHistory::default(),
-            found: (0, 0),
+            found: FoundEngines::default(),
             pause: None,
             has_ordered: false,
             need_logged_ms: 0,
@@ -276,13 +283,16 @@
         state.history.observe(demand, service.capacity(), now_ms);
     }
     let remaining = remaining_engines(&zones);
-    if !state.has_ordered && remaining > state.found.0 {
-        state.found = (remaining, now_ms);
+    if !state.has_ordered && remaining > state.found.remaining {
+        state.found = FoundEngines {
+            remaining,
+            since_ms: now_ms,
+        };
     }
-    let (found, found_ms) = state.found;
+    let found = state.found;
     let idle_need = || {
-        let is_complete = now_ms >= found_ms + REGISTRATION_MS;
-        let need = state.history.idle_need(found, now_ms);
+        let is_complete = now_ms >= found.since_ms + REGISTRATION_MS;
+        let need = state.history.idle_need(found.remaining, now_ms);
         need.filter(|_| is_complete)
     };
     let need = state.history.need(now_ms).or_else(idle_need);
--- a/crates/yuccactl/src/command.rs
+++ b/crates/yuccactl/src/command.rs
@@ -241,19 +241,19 @@
     fn read(&mut self, name: &str, parser: &mut Parser) -> Result<bool> {
         let question = &mut self.question;
         match name {
-            "at" => self.at = Some(number(name, parser)?),
+            "at" => self.at = Some(parsed_value(name, parser)?),
             "json" => self.is_json = true,
             "route" => question.route = Some(string_value(parser)?),
             "host" => question.host = Some(string_value(parser)?),
             "path" => question.path = Some(string_value(parser)?),
             "organisation" => question.organisation = Some(string_value(parser)?),
             "request-id" => question.request_id = Some(string_value(parser)?),
-            "tokens" => question.tokens = Some(number(name, parser)?),
+            "tokens" => question.tokens = Some(parsed_value(name, parser)?),
             "parts" => question.parts = Some(string_value(parser)?),
-            "output-tokens" => question.output_tokens = number(name, parser)?,
-            "body-bytes" => question.body_bytes = number(name, parser)?,
-            "rank" => question.rank = Some(number(name, parser)?),
-            "deadline-ms" => question.deadline_ms = Some(number(name, parser)?),
+            "output-tokens" => question.output_tokens = parsed_value(name, parser)?,
+            "body-bytes" => question.body_bytes = parsed_value(name, parser)?,
+            "rank" => question.rank = Some(parsed_value(name, parser)?),
+            "deadline-ms" => question.deadline_ms = Some(parsed_value(name, parser)?),
             _ => return Ok(false),
         }
         self.first.get_or_insert_with(|| format!("--{name}"));
@@ -261,8 +261,8 @@
     }
 }
 
-/// Reads the value of the option `name`, which is a number or an address.
-fn number<T: FromStr<Err: Display>>(name: &str, parser: &mut Parser) -> Result<T> {
+/// Parses the value of the option `name`.
+fn parsed_value<T: FromStr<Err: Display>>(name: &str, parser: &mut Parser) -> Result<T> {
     let text = string_value(parser)?;
     let value = text.parse();
     value.map_err(|error| bad_usage(&format!("--{name} {text}: {error}")))
--- a/src/engine_scaling.rs
+++ b/src/engine_scaling.rs
@@ -104,7 +104,8 @@
     Forbidden,
     /// After a time in which they were not needed, a bounded step at a time.
     Stepwise,
-    /// As soon as others serve in their place. They have served no request and lose no cached prefix.
+    /// All surplus ordinary engines, as soon as the others suffice. They have served no request, so no
+    /// cached prefix is lost.
     AtOnce,
 }
 
--- a/src/usage_copies.rs
+++ b/src/usage_copies.rs
@@ -2,8 +2,8 @@
 //!
 //! Before the first call for a window its report is copied to some hosts, and the window and the lease's
 //! epoch are told to a majority. A holder that finds that the store does not know such a window, because
-//! it was restored, asks a majority. The copy holds that has the highest epoch under which any of them was
-//! told of the window: another copy may stem from a holder that never called.
+//! it was restored, asks a majority. A copy is valid only if its epoch is the highest under which any of these hosts was
+//! told of the window. Other copies may come from a holder that never called the control API.
 //!
 //! ```
 //! use yuccacove::usage_copies::{Copies, ReportCopy};
