Decide about generations by the forecast unless there is a shortage

Cause: a request that the forecast calls late was held behind all others. The forecast is often too long beside failing engines, and the hold then made the answer late.

Change: while 90% or more of the recent requests are admitted, generations are decided by the forecast. Below that, and for returning callers, standings and floors apply as before. Plain services are left as they are.

Test: decide_late_without_shortage fails without the change (the request is held).

--- a/src/overload.rs
+++ b/src/overload.rs
@@ -38,12 +38,14 @@
 use indexmap::IndexMap;
 
 use crate::fair_shares::{Asker, FairShares, Standing};
-use crate::forecast::Forecast;
+use crate::forecast::{self, Forecast};
 use crate::hold_queue::{HoldQueue, Precedence, Ticket};
 
 /// Share of the time left that the forecast of a request below its floor may take. The rest is for
 /// its output and for errors of the forecast.
 const UNDER_DEADLINE_SHARE: f64 = 0.5;
+/// Share of the recent requests that were admitted below which there is a shortage.
+const SHORTAGE_SHARE: f64 = 0.9;
 /// Utilisation of a decode engine above which requests that are delayed first do not start.
 const MAX_DELAYED_UTILISATION: f64 = 0.75;
 /// Multiple of its work by which a held request is put back. Of two requests with the same due time,
@@ -247,6 +249,10 @@
         if forecast.first_token_ms > left_ms {
             return self.refuse(ask, Reason::Unreachable, random);
         }
+        let is_generation = self.hold_limit == HoldLimit::Generation;
+        if is_generation && !self.is_shortage() && spent_ms == 0 {
+            return self.by_forecast(ask, now_ms, random);
+        }
         if standing == Standing::Under && forecast.first_token_ms <= left_ms * UNDER_DEADLINE_SHARE
         {
             return Decision::Admit;
@@ -285,6 +291,25 @@
         Decision::Hold { precedence, reason }
     }
 
+    /// Whether much of what callers send finds no room. Without a shortage nobody has to pay for others, and
+    /// a forecast that is too long must not delay requests further.
+    fn is_shortage(&self) -> bool {
+        self.shares.served_share() < SHORTAGE_SHARE
+    }
+
+    fn by_forecast(&self, ask: &Ask, now_ms: u64, random: u64) -> Decision {
+        match ask.forecast.decide(random) {
+            forecast::Decision::Admit => Decision::Admit,
+            forecast::Decision::Hold => Decision::Hold {
+                precedence: precedence(ask, false, now_ms),
+                reason: Reason::Reserved,
+            },
+            // Nobody else needs the room.
+            forecast::Decision::Refuse { .. } if !is_busy(&ask.forecast) => Decision::Admit,
+            forecast::Decision::Refuse { .. } => self.refuse(ask, Reason::Late, random),
+        }
+    }
+
     /// Returns the time that the caller has spent on earlier tries. A returning caller allows less
     /// time than others of its kind, because its target and its deadline began with the first try.
     fn spent_ms(&mut self, ask: &Ask) -> u64 {
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -68,6 +68,25 @@
     }
 }
 
+/// Guards against requests that are held until they are late because a forecast says that they will be, while
+/// nearly all requests find room.
+#[test]
+fn decide_late_without_shortage() {
+    let late = ask(0, 900.0, 800.0);
+    let mut overload = Overload::default();
+    for at in 0..100 {
+        overload.decide(&ask(0, 20.0, 0.0), 1_000 + at, at);
+    }
+    let decision = overload.decide(&late, 1_200, 0);
+    assert!(matches!(decision, Decision::Refuse { .. }), "{decision:?}");
+    let mut shortage = Overload::default();
+    for at in 0..100 {
+        shortage.decide(&ask(0, 8_100.0, 0.0), 1_000 + at, at);
+    }
+    let decision = shortage.decide(&late, 1_200, 0);
+    assert!(matches!(decision, Decision::Hold { .. }), "{decision:?}");
+}
+
 /// Guards against requests that are held although their turn cannot come: in a long burst most are
 /// refused at once, so that their callers can return.
 #[test]
