Keep enough engines after a loss while ordinary ones are replaced

Cause: before there is demand, ordinary engines were given back as soon as the present number was kept, whether or not that number was also left after the loss of a zone's spot engines, as the design says. In some zones spot engines could not be ordered yet, because ordinary ones filled the zone's maximum; orders that only save cost waited for room for all of them.

Change: a step down before demand keeps the need after a loss as well, and orders that save cost take the room that there is, a quarter more engines at least.

Test: plan_before_demand now checks the number after a loss in each second, and two fleets of four zones, one with little room. It fails without the change. Its former bounds stay.

--- a/src/engine_scaling.rs
+++ b/src/engine_scaling.rs
@@ -490,17 +490,25 @@
             standing,
             target,
         };
-        let kind_and_share = match lowering {
+        let step = match lowering {
             _ if lacking => None,
             Lowering::Forbidden => None,
             Lowering::Stepwise => {
                 let kind = self.kind_to_lower(limits, zones, &transition, now_ms);
-                kind.map(|kind| (kind, STEP_SHARE))
+                kind.map(|kind| Step {
+                    kind,
+                    share: STEP_SHARE,
+                    keeps_firm: false,
+                })
             }
-            Lowering::AtOnce => Some((EngineKind::Ordinary, 1.0)),
+            Lowering::AtOnce => Some(Step {
+                kind: EngineKind::Ordinary,
+                share: 1.0,
+                keeps_firm: true,
+            }),
         };
-        if let Some((kind, share)) = kind_and_share
-            && let Some(lowered) = step_down(limits, zones, &transition, need, kind, share)
+        if let Some(step) = step
+            && let Some(lowered) = step_down(limits, zones, &transition, need, step)
         {
             self.last_step_ms = Some(now_ms);
             changes.push(lowered);
@@ -639,16 +647,27 @@
     target: Vec<Numbers>,
 }
 
-/// Gives back engines of the zone where they cost most, at most a share of those that serve, if the
-/// others that serve now suffice.
+/// Engines that may be given back at a time.
+#[derive(Debug, Clone, Copy)]
+struct Step {
+    kind: EngineKind,
+    /// Largest share of the engines that serve.
+    share: f64,
+    /// Whether the whole need without headroom must be met after the loss of any zone's spot engines too.
+    /// A fleet that serves may lack it for a time, because spot engines may not be had.
+    keeps_firm: bool,
+}
+
+/// Gives back engines of the zone where they cost most and of which some may go, if the others that
+/// serve now suffice.
 fn step_down(
     limits: &Limits,
     zones: &[ZoneState],
     transition: &Transition,
     need: &Need,
-    kind: EngineKind,
-    share: f64,
+    step: Step,
 ) -> Option<Change> {
+    let kind = step.kind;
     let Transition {
         expected,
         standing,
@@ -659,27 +678,28 @@
             .of(kind)
             .saturating_sub(target[zone].of(kind))
     };
+    let serving: u32 = standing.iter().map(|n| n.all()).sum();
+    let most = ((f64::from(serving) * step.share) as u32).max(1);
+    let banded = need.with_band();
+    let suffices = |after: &[Numbers]| {
+        let lack = Lack::of(&banded, Sums::of(after));
+        !lack.is_any() && (!step.keeps_firm || lack.firm <= 0.0)
+    };
     let zone = (0..zones.len())
         .filter(|zone| excess(*zone) > 0)
         .max_by(|a, b| zones[*a].price.total_cmp(&zones[*b].price))?;
-    let serving: u32 = standing.iter().map(|n| n.all()).sum();
-    let step = ((f64::from(serving) * share) as u32).max(1);
-    let banded = need.with_band();
-    for fewer in (1..=excess(zone).min(step)).rev() {
+    (1..=excess(zone).min(most)).rev().find_map(|fewer| {
         let engines = expected[zone].of(kind) - fewer;
         let mut after = standing.clone();
         *after[zone].of_mut(kind) = engines.min(standing[zone].of(kind));
         let is_above_min = expected[zone].all() - fewer >= limits.min;
-        if is_above_min && !Lack::of(&banded, Sums::of(&after)).is_any() {
-            return Some(Change {
-                zone,
-                kind,
-                engines,
-                is_raise: false,
-            });
-        }
-    }
-    None
+        (is_above_min && suffices(&after)).then_some(Change {
+            zone,
+            kind,
+            engines,
+            is_raise: false,
+        })
+    })
 }
 
 /// Orders more engines: all that are lacking, and spot engines that replace ordinary ones or whose zone
@@ -724,8 +744,7 @@
             let engines = target.of(kind).min(room);
             // Engines that only save cost are not ordered one by one.
             let few = after.of(kind) / 4 + 1;
-            let is_worth =
-                lacking || (engines == target.of(kind) && engines >= after.of(kind) + few);
+            let is_worth = lacking || engines >= after.of(kind) + few;
             if is_wanted && is_worth && engines > after.of(kind) {
                 *after.of_mut(kind) = engines;
                 changes.push(Change {
--- a/tests/engine_scaling.rs
+++ b/tests/engine_scaling.rs
@@ -343,26 +343,35 @@
 }
 
 /// Guards against the price of ordinary engines while there is no demand yet, and against a fleet that
-/// is smaller than the one found when the demand comes, also beside a reclaim.
+/// would be smaller than the one found after the loss of any zone's spot engines, also on the way there.
 #[test]
 fn plan_before_demand() {
-    let mut simulation = Simulation::new(&[0.85, 1.0, 1.15], 30, 60);
-    let start_cost_per_s = 90.0;
-    let no_load = |_| (0.0, 0.0);
-    for _ in 0..40 {
-        simulation.run(1, no_load);
+    // The last maximum leaves room for few engines beside those that were found.
+    for (prices, start, max, cost_share) in [
+        (vec![0.85, 1.0, 1.15], 30, 60, 0.5),
+        (vec![1.0, 1.1, 0.9, 1.25], 15, 30, 0.6),
+        (vec![1.0, 1.1, 0.9, 1.25], 15, 20, 1.0),
+    ] {
+        let found = start * prices.len() as u32;
+        let mut simulation = Simulation::new(&prices, start, max);
+        let no_load = |_| (0.0, 0.0);
+        for _ in 0..40 {
+            simulation.run(1, no_load);
+            let numbers = simulation.numbers();
+            assert!(after_loss(&numbers) >= found, "{numbers:?}");
+        }
+        let cost = simulation.cost;
+        simulation.run(10, no_load);
+        let cost_per_s = (simulation.cost - cost) / 10.0;
+        let start_cost_per_s = prices.iter().sum::<f64>() * f64::from(start);
         let numbers = simulation.numbers();
-        assert!(all(&numbers) >= 90, "{numbers:?}");
+        let limit_per_s = start_cost_per_s * cost_share;
+        assert!(cost_per_s < limit_per_s, "{cost_per_s} {numbers:?}");
+        simulation.reclaim(0, 9_000);
+        let load = f64::from(found) * 0.6;
+        simulation.run(20, |_| (load, load / 2.0));
+        assert_eq!(simulation.short, 0, "{:?}", simulation.numbers());
     }
-    let numbers = simulation.numbers();
-    assert!(after_loss(&numbers) >= 90, "{numbers:?}");
-    let cost = simulation.cost;
-    simulation.run(10, no_load);
-    let cost_per_s = (simulation.cost - cost) / 10.0;
-    assert!(cost_per_s < start_cost_per_s / 2.0, "{cost_per_s}");
-    simulation.reclaim(0, 9_000);
-    simulation.run(20, |_| (50.0, 25.0));
-    assert_eq!(simulation.short, 0, "{:?}", simulation.numbers());
 }
 
 /// Guards against urgent requests without engines after a reclaim, in a market without spot engines
