Share the stream of a caller's connection between both programs

yucca-platform and yucca-entry had the same stream that records what a caller takes, and the same loop that ends a connection. Both are yucca_io::caller_stream now; what the entry program reserves for long heads stays there (head_memory.rs). Nothing changes for callers: the tests untrusted_clients, process and operators of yucca-platform and all of yucca-entry and yucca-io pass.

--- a/crates/yucca-entry/src/callers.rs
+++ b/crates/yucca-entry/src/callers.rs
@@ -12,14 +12,15 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use yucca_io::caller_connections::CallerConnection;
+use yucca_io::caller_stream::{CallerStream, serve_until_closed};
 use yuccacove::code::Code;
 use yuccacove::connection_budget::{Shortage, Timeouts};
 use yuccacove::memory_budget::Purpose;
 
-use crate::caller_io::CallerIo;
 use crate::dispatch;
+use crate::head_memory::{HeadMemory, MAX_CALLER_READ_BYTES};
 use crate::host::Host;
 use crate::problem::Problem;
 
@@ -30,8 +31,6 @@
 const MIN_BUFFER_BYTES: usize = 8_192;
 /// Pause after a failed `accept`, usually caused by a lack of file descriptors.
 const ACCEPT_RETRY_MS: u64 = 50;
-/// Time for the refusal of a request whose body stops, before its connection is closed.
-const REFUSAL_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// The callers' port while it is open.
 pub struct CallersPort {
@@ -159,12 +158,19 @@
     host: Arc<Host>,
     caller: Arc<CallerConnection>,
     stream: TcpStream,
-    mut is_closing: watch::Receiver<bool>,
+    is_closing: watch::Receiver<bool>,
 ) {
     let _ = stream.set_nodelay(true);
     let limits = host.limits;
     let buffer = host.memory.guard(Purpose::Connection);
-    let io = CallerIo::new(stream, Arc::clone(&caller), buffer);
+    let mut head = HeadMemory::new(buffer);
+    let on_received = move |caller: &CallerConnection, bytes| head.record_received(caller, bytes);
+    let io = CallerStream::new(
+        stream,
+        Arc::clone(&caller),
+        MAX_CALLER_READ_BYTES,
+        on_received,
+    );
     let service =
         service_fn(|request| dispatch::handle(Arc::clone(&host), Arc::clone(&caller), request));
     let connection = http1::Builder::new()
@@ -172,23 +178,5 @@
         .header_read_timeout(Duration::from_millis(limits.header_timeout_ms))
         .max_buf_size((limits.max_header_bytes * HEADER_BUFFER_FACTOR).max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(io), service);
-    let mut connection = std::pin::pin!(connection);
-    let mut is_stopping = false;
-    loop {
-        tokio::select! {
-            // A connection that ends, with or without an error, cancels its request; nothing else
-            // has to be done.
-            _ = connection.as_mut() => return,
-            _ = is_closing.wait_for(|closing| *closing), if !is_stopping => {
-                is_stopping = true;
-                connection.as_mut().graceful_shutdown();
-            }
-            _ = caller.closing() => break,
-        }
-    }
-    if caller.is_receiving_body() {
-        connection.as_mut().graceful_shutdown();
-        // The connection is closed, whether its caller takes the refusal or not.
-        let _ = timeout(REFUSAL_TIMEOUT, connection).await;
-    }
+    serve_until_closed(connection, &caller, is_closing).await;
 }
--- a/crates/yucca-entry/src/lib.rs
+++ b/crates/yucca-entry/src/lib.rs
@@ -18,7 +18,6 @@
 pub mod admission;
 pub mod backend_fault;
 pub mod backends;
-pub mod caller_io;
 pub mod caller_response;
 pub mod callers;
 pub mod catalogue_watch;
@@ -38,6 +37,7 @@
 pub mod engine_stream;
 pub mod fleet;
 pub mod fleet_state;
+pub mod head_memory;
 pub mod host;
 pub mod join;
 pub mod metrics;
--- a/crates/yucca-io/src/lib.rs
+++ b/crates/yucca-io/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod body_buffer;
 pub mod caller_body;
 pub mod caller_connections;
+pub mod caller_stream;
 pub mod catalogue_file;
 pub mod cli;
 pub mod clock;
