--- a/crates/yucca-serve/src/usage.rs
+++ b/crates/yucca-serve/src/usage.rs
@@ -27,7 +27,7 @@
 
 pub use copies::CopyPart;
 use copies::PartBuffer;
-use gather::Gather;
+use gather::GroupAggregation;
 pub use gather::{GroupAnswer, GroupContent, GroupQuestion};
 pub use holder::report_usage;
 use inquiry::Inquiry;
@@ -244,7 +244,7 @@
     copies: Copies,
     incomplete_copies: PartBuffer,
     /// Sum that this host forms for the holder.
-    gather: Option<Gather>,
+    gather: Option<GroupAggregation>,
     /// Time of the start on the boot clock, and the window in which it was.
     started_ms: Option<u64>,
     started_window: Option<u64>,
@@ -318,7 +318,7 @@
     pub(crate) fn is_due(&self, now_ms: u64) -> bool {
         let state = self.state.borrow();
         let is_periodic = now_ms >= state.next_clock_ms.min(state.next_replica_ms);
-        let is_gathering = state.gather.as_ref().is_some_and(Gather::is_open);
+        let is_gathering = state.gather.as_ref().is_some_and(GroupAggregation::is_open);
         is_periodic || is_gathering || self.has_messages()
     }
 
@@ -569,7 +569,7 @@
             windows: question.windows,
             silent: Vec::new(),
         };
-        let mut gather = Gather::new(question, now_ms);
+        let mut gather = GroupAggregation::new(question, now_ms);
         for answer in self.answers(own, &own_question, others, now_ms) {
             gather.record(&answer);
         }
--- a/crates/yucca-serve/src/usage/gather.rs
+++ b/crates/yucca-serve/src/usage/gather.rs
@@ -70,7 +70,7 @@
 pub(super) struct Group {
     pub(super) members: Vec<HostId>,
     /// Member that adds up the group.
-    pub(super) adder: HostId,
+    pub(super) aggregator: HostId,
     pub(super) parts: IndexMap<u32, GroupAnswer>,
     /// Whether its sum was taken, or its members are asked by the holder itself.
     pub(super) is_closed: bool,
@@ -90,10 +90,10 @@
         let size = hosts.len().div_ceil(count.max(1));
         for members in hosts.chunks(size.max(1)) {
             let rank = |id: &&HostId| (!alive.contains(*id), hash_of((draw, id.0)));
-            if let Some(adder) = members.iter().min_by_key(rank) {
+            if let Some(aggregator) = members.iter().min_by_key(rank) {
                 groups.push(Group {
                     members: members.to_vec(),
-                    adder: *adder,
+                    aggregator: *aggregator,
                     parts: IndexMap::new(),
                     is_closed: false,
                 });
@@ -105,7 +105,7 @@
 
 /// The sum that this host forms for its group.
 #[derive(Debug)]
-pub(super) struct Gather {
+pub(super) struct GroupAggregation {
     pub(super) question: GroupQuestion,
     asked_ms: u64,
     next_ask_ms: u64,
@@ -120,7 +120,7 @@
     answers: Vec<GroupAnswer>,
 }
 
-impl Gather {
+impl GroupAggregation {
     pub(super) fn new(question: GroupQuestion, now_ms: u64) -> Self {
         Self {
             question,
--- a/crates/yucca-serve/src/usage/inquiry.rs
+++ b/crates/yucca-serve/src/usage/inquiry.rs
@@ -276,7 +276,10 @@
                 windows: self.windows,
                 members: group.members.clone(),
             };
-            (vec![group.adder], UsageMessage::GroupQuestion(question))
+            (
+                vec![group.aggregator],
+                UsageMessage::GroupQuestion(question),
+            )
         };
         open.map(question).collect()
     }
@@ -339,7 +342,7 @@
             return;
         }
         self.majority.hear(answer.sender, now_ms);
-        let is_open = |group: &&mut Group| group.adder == answer.sender && !group.is_closed;
+        let is_open = |group: &&mut Group| group.aggregator == answer.sender && !group.is_closed;
         let Some(group) = self.groups.iter_mut().find(is_open) else {
             return;
         };
--- a/crates/yucca-serve/tests/usage.rs
+++ b/crates/yucca-serve/tests/usage.rs
@@ -1015,7 +1015,7 @@
 
 /// Hosts that add up a group and are lost meanwhile must neither lose nor double its counts.
 #[test]
-fn report_usage_adders_lost() {
+fn report_usage_aggregators_lost() {
     for fault in [Fault::Killed, Fault::Paused, Fault::CutOff] {
         for is_answering in [false, true] {
             run_virtual(async {
