--- a/crates/yucca-serve/tests/plain_admission.rs
+++ b/crates/yucca-serve/tests/plain_admission.rs
@@ -63,6 +63,15 @@
     Step::Fault(CallFault::NotRun { status: 503 })
 }
 
+/// Scripts back ends that have room for a quarter of what reaches them.
+fn script_quarter(host: &Host<FakeBackends>) {
+    let served = Step::Respond(200, vec![Chunk::Bytes(40, "ok")]);
+    for _ in 0..500 {
+        script(host, &served, 1);
+        script(host, &full(), 3);
+    }
+}
+
 async fn send(host: &Rc<Host<FakeBackends>>, organisation: &str) -> Reply {
     serve(host, request_of(organisation)).await
 }
@@ -112,12 +121,7 @@
 fn serve_flood_refused_unsent() {
     run_virtual(async {
         let host = host(true);
-        // Back ends that have room for a quarter of what reaches them.
-        let served = Step::Respond(200, vec![Chunk::Bytes(40, "ok")]);
-        for _ in 0..500 {
-            script(&host, &served, 1);
-            script(&host, &full(), 3);
-        }
+        script_quarter(&host);
         let mut unsent = [0; 2];
         for at in 0..400 {
             let is_flood = at % 10 > 0;
@@ -140,11 +144,7 @@
 fn explain_flood_refused_unsent() {
     run_virtual(async {
         let host = host(true);
-        let served = Step::Respond(200, vec![Chunk::Bytes(40, "ok")]);
-        for _ in 0..500 {
-            script(&host, &served, 1);
-            script(&host, &full(), 3);
-        }
+        script_quarter(&host);
         let question = Question {
             route: Some("r".to_owned()),
             organisation: Some("hule".to_owned()),
