--- a/review/standins-2/host.rs
+++ b/review/standins-2/host.rs
@@ -1,9 +1,10 @@
 //! The product's program as a process of its own, started with the command of the deploy file.
 
 use std::fs::File;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -27,10 +28,23 @@
     process: Option<Child>,
 }
 
-/// Returns a loopback address with a port that is free now.
+/// First of the ports from which free ones are taken. They lie below those that the kernel gives to outgoing
+/// connections.
+const FIRST_PORT: u32 = 11_000;
+const PORTS: u32 = 20_000;
+
+/// Returns a loopback address whose port is free for TCP and UDP, and was not returned before.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(97) % PORTS;
+    loop {
+        let port = FIRST_PORT + (start + NEXT.fetch_add(1, Ordering::SeqCst)) % PORTS;
+        let port = u16::try_from(port).expect("a port");
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Host {
@@ -71,6 +85,8 @@
             }
             sleep(Duration::from_millis(20));
         }
+        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+        eprintln!("not ready within 15 s; its log:\n{log}");
         false
     }
 
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -1,8 +1,9 @@
 //! A small HTTP/1.1 server and client on loopback sockets, for the stand-ins of the review.
 
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -37,6 +38,36 @@
     Answer::Bytes([head.as_bytes(), body.as_bytes()].concat())
 }
 
+/// Serves requests on a free loopback port until `is_gone`: then the port closes, and after it all
+/// connections, as those of a process that exits.
+pub fn serve_until(
+    is_gone: Arc<AtomicBool>,
+    handle: impl Fn(&Request) -> Answer + Send + Sync + 'static,
+) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    listener.set_nonblocking(true).expect("an option");
+    let handle = Arc::new(handle);
+    thread::spawn(move || {
+        let mut streams: Vec<TcpStream> = Vec::new();
+        while !is_gone.load(Ordering::SeqCst) {
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            let (Ok(()), Ok(kept)) = (stream.set_nonblocking(false), stream.try_clone()) else { continue };
+            streams.push(kept);
+            let handle = Arc::clone(&handle);
+            thread::spawn(move || serve_connection(stream, &*handle));
+        }
+        drop(listener);
+        for stream in streams {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    });
+    address
+}
+
 /// Serves requests on a free loopback port, one thread for each connection.
 pub fn serve(handle: impl Fn(&Request) -> Answer + Send + Sync + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -111,7 +142,8 @@
     Some(body)
 }
 
-fn read_request(reader: &mut impl BufRead) -> Option<Request> {
+/// Reads a request; `None` at the end of the connection.
+pub fn read_request(reader: &mut impl BufRead) -> Option<Request> {
     let line = read_line(reader)?;
     let mut words = line.split(' ');
     let method = words.next()?.to_owned();
@@ -129,6 +161,13 @@
 
 /// Sends a request on a new connection; `None` if there is no complete answer.
 pub fn call(to: SocketAddr, text: &str, limit: Duration) -> Option<Received> {
+    let (status, body) = call_with_body(to, text, limit)?;
+    body.map(|_| Received { status })
+}
+
+/// Sends a request on a new connection. Returns the status and the body, which is `None` if it is not
+/// complete; `None` if there is no head.
+pub fn call_with_body(to: SocketAddr, text: &str, limit: Duration) -> Option<(u16, Option<Vec<u8>>)> {
     let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
     stream.set_nodelay(true).ok()?;
     stream.set_read_timeout(Some(limit)).ok()?;
@@ -137,6 +176,5 @@
     let line = read_line(&mut reader)?;
     let status = line.split(' ').nth(1)?.parse().ok()?;
     let headers = read_headers(&mut reader)?;
-    read_body(&mut reader, &headers)?;
-    Some(Received { status })
+    Some((status, read_body(&mut reader, &headers)))
 }
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -65,6 +65,13 @@
         revision
     }
 
+    /// Removes an object, as an engine that leaves or the platform does.
+    pub fn delete(&self, kind: &str, name: &str) {
+        let mut state = self.shared.0.lock().expect("not poisoned");
+        write(&mut state.content, kind, name, None);
+        self.shared.1.notify_all();
+    }
+
     /// Keeps a copy of the present content.
     pub fn keep_copy(&self) {
         let mut state = self.shared.0.lock().expect("not poisoned");
