--- a/review/standins-2/host.rs
+++ b/review/standins-2/host.rs
@@ -67,16 +67,8 @@
 
     /// Starts the process and waits until it is ready. Returns `false` if it is not within 15 s.
     pub fn start(&mut self) -> bool {
-        let log = File::options().append(true).create(true).open(&self.log).expect("a log");
-        let process = Command::new(PROGRAM)
-            .env("YUCCACOVE_SETTINGS", &self.settings)
-            .stdin(Stdio::null())
-            .stderr(log.try_clone().expect("a log"))
-            .stdout(log)
-            .spawn();
-        match process {
-            Ok(process) => self.process = Some(process),
-            Err(_) => return false,
+        if !self.launch() {
+            return false;
         }
         let started = Instant::now();
         while started.elapsed() < Duration::from_secs(15) {
@@ -90,6 +82,36 @@
         false
     }
 
+    /// Starts the process without waiting for it. Returns `false` if it could not be started.
+    pub fn launch(&mut self) -> bool {
+        let log = File::options().append(true).create(true).open(&self.log).expect("a log");
+        let process = Command::new(PROGRAM)
+            .env("YUCCACOVE_SETTINGS", &self.settings)
+            .stdin(Stdio::null())
+            .stderr(log.try_clone().expect("a log"))
+            .stdout(log)
+            .spawn();
+        self.process = process.ok();
+        self.process.is_some()
+    }
+
+    /// Returns the resident memory of the process in bytes; `None` if it has ended.
+    pub fn resident_bytes(&self) -> Option<u64> {
+        let id = self.process.as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let kilobytes: u64 = line.split_whitespace().next()?.parse().ok()?;
+        Some(kilobytes * 1_024)
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        if let Some(mut process) = self.process.take() {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+
     /// Asks as the platform does.
     pub fn is_ready(&self) -> bool {
         let question = "GET /readyz HTTP/1.1\r\nHost: ready\r\n\r\n";
--- a/review/standins-2/left.rs
+++ b/review/standins-2/left.rs
@@ -1,4 +1,4 @@
-//! Case 7: an order server that has left gets orders again, because the store came back from a copy that
+//! Case 8: an order server that has left gets orders again, because the store came back from a copy that
 //! lists it and a host is told of that entry twice.
 
 mod host;
--- a/review/standins-2/poison.rs
+++ b/review/standins-2/poison.rs
@@ -1,4 +1,4 @@
-//! Case 6: a part of a prompt that crashes engines goes on reaching them, because several requests with it
+//! Case 7: a part of a prompt that crashes engines goes on reaching them, because several requests with it
 //! come at the same moment.
 
 mod engine;
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -8,6 +8,10 @@
 
 use crate::http::{Answer, Request, answer, serve};
 
+/// Size of a page: "about 500 or 1 MB at most".
+const MAX_PAGE_ITEMS: usize = 500;
+const MAX_PAGE_BYTES: usize = 1_000_000;
+
 #[derive(Debug, Clone)]
 struct Object {
     revision: u64,
@@ -105,7 +109,7 @@
         match (request.method.as_str(), name) {
             ("GET", None) => match parameter(query, "watch") {
                 Some(since) => self.watch(kind, since, parameter(query, "wait_ms").unwrap_or(0)),
-                None => self.list(kind),
+                None => self.list(kind, &text_parameter(query, "after").unwrap_or_default()),
             },
             ("GET", Some(name)) => self.read(kind, name),
             ("POST", _) => match text_field(&body, "name") {
@@ -129,14 +133,22 @@
         reply(era, status, body)
     }
 
-    fn list(&self, kind: &str) -> Answer {
+    /// Lists the objects of a kind whose names come after `after`, about 500 or 1 MB of them at most.
+    fn list(&self, kind: &str, after: &str) -> Answer {
         let state = self.shared.0.lock().expect("not poisoned");
         let of_kind = state.content.objects.iter().filter(|((k, _), _)| k == kind);
-        let items: Vec<String> = of_kind
-            .map(|((_, name), object)| object_json(name, object.revision, Some(&object.spec)))
-            .collect();
+        let mut rest = of_kind.filter(|((_, name), _)| name.as_str() > after).peekable();
+        let mut items: Vec<String> = Vec::new();
+        let mut bytes = 0;
+        while items.len() < MAX_PAGE_ITEMS && bytes < MAX_PAGE_BYTES {
+            let Some(((_, name), object)) = rest.next() else { break };
+            let item = object_json(name, object.revision, Some(&object.spec));
+            bytes += item.len();
+            items.push(item);
+        }
+        let more = rest.peek().is_some();
         let as_of = state.content.revision;
-        let body = format!("{{\"items\":[{}],\"more\":false,\"as_of\":{as_of}}}", items.join(","));
+        let body = format!("{{\"items\":[{}],\"more\":{more},\"as_of\":{as_of}}}", items.join(","));
         reply(state.era, "200 OK", &body)
     }
 
@@ -246,6 +258,30 @@
     found.next()?.1.parse().ok()
 }
 
+/// Returns a parameter of a query, with its percent-encoding undone.
+fn text_parameter(query: &str, name: &str) -> Option<String> {
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let mut found = pairs.filter(|(key, _)| *key == name);
+    let encoded = found.next()?.1.as_bytes();
+    let mut text = Vec::new();
+    let mut at = 0;
+    while at < encoded.len() {
+        let code = encoded.get(at + 1..at + 3).filter(|_| encoded[at] == b'%');
+        let code = code.and_then(|code| std::str::from_utf8(code).ok());
+        match code.and_then(|code| u8::from_str_radix(code, 16).ok()) {
+            Some(byte) => {
+                text.push(byte);
+                at += 3;
+            }
+            None => {
+                text.push(encoded[at]);
+                at += 1;
+            }
+        }
+    }
+    String::from_utf8(text).ok()
+}
+
 /// Returns the text after `"name":` in a compact JSON text.
 fn after<'a>(json: &'a str, name: &str) -> Option<&'a str> {
     let key = format!("\"{name}\":");
