--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,5 +3,5 @@
 cd "$(dirname "$0")/../.." || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-[ -x target/release/yucca-platform ] && [ -x target/review-2/poison ] || exit 2
-target/review-2/poison "$folder" review/7/record.txt
+[ -x target/release/yucca-platform ] && [ -x target/review-2/foreign ] || exit 2
+target/review-2/foreign "$folder" review/7/record.txt
--- a/review/standins-2/host.rs
+++ b/review/standins-2/host.rs
@@ -77,8 +77,6 @@
             }
             sleep(Duration::from_millis(20));
         }
-        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
-        eprintln!("not ready within 15 s; its log:\n{log}");
         false
     }
 
--- a/review/standins-2/poison.rs
+++ b/review/standins-2/poison.rs
@@ -1,15 +1,15 @@
-//! Case 7: a part of a prompt that crashes engines goes on reaching them, because several requests with it
+//! Case 8: a part of a prompt that crashes engines goes on reaching them, because several requests with it
 //! come at the same moment.
 
 mod engine;
 mod host;
 mod http;
+mod record;
 mod store;
 
 use std::collections::HashSet;
-use std::fmt::Write as _;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::ExitCode;
 use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
@@ -18,6 +18,7 @@
 use engine::{EVENTS, Fleet};
 use host::Host;
 use http::call_with_body;
+use record::Record;
 use store::Store;
 
 const SERVICE: &str = "modelo-cortes";
@@ -77,24 +78,6 @@
     Sent { id, is_deadly, sent, status: received.map(|(status, _)| status), is_whole }
 }
 
-struct Record {
-    began: Instant,
-    text: String,
-}
-
-impl Record {
-    fn seconds(&self, at: Instant) -> f64 {
-        at.saturating_duration_since(self.began).as_secs_f64()
-    }
-
-    fn note(&mut self, what: &str) {
-        let at = self.seconds(Instant::now());
-        let _ = writeln!(self.text, "{at:7.3} s  {what}");
-        println!("{at:7.3} s  {what}");
-    }
-}
-
-/// Returns whether the rule held; `None` if the case could not run.
 fn run(folder: &Path, has_trouble: bool, record: &mut Record) -> Option<bool> {
     let store = Store::new();
     let address = store.listen();
@@ -155,7 +138,7 @@
     let sound = sound.join().expect("the clients");
     for host in &hosts {
         for line in host.log_lines(&["E403", "E404", "suspect", "crash_observed"]) {
-            let _ = writeln!(record.text, "log: {line}");
+            record.text += &format!("log: {line}\n");
         }
     }
     Some(judge(&fleet, &deadly, &sound, record))
@@ -165,15 +148,13 @@
     let crashes = fleet.crashes.lock().expect("not poisoned").clone();
     let runs = fleet.runs.lock().expect("not poisoned").clone();
     for (at, engine, broken) in &crashes {
-        let at = record.seconds(*at);
-        let _ = writeln!(record.text, "{at:7.3} s  engine {engine} crashes; it was at work on {} others", broken.len());
+        record.line(*at, &format!("engine {engine} crashes; it was at work on {} others", broken.len()));
     }
     for request in deadly.iter().chain(sound) {
         let status = request.status.map_or("none".to_owned(), |status| status.to_string());
         let kind = if request.is_deadly { "deadly" } else { "sound" };
         let end = if request.is_whole { "whole" } else { "not whole" };
-        let at = record.seconds(request.sent);
-        let _ = writeln!(record.text, "{at:7.3} s  {kind} request {}: answered {status}, {end}", request.id);
+        record.line(request.sent, &format!("{kind} request {}: answered {status}, {end}", request.id));
     }
     let whole = sound.iter().filter(|request| request.is_whole).count();
     record.note(&format!("{whole} of {} sound requests were served whole", sound.len()));
@@ -186,8 +167,7 @@
     let at = record.seconds(counted_from);
     let late: Vec<_> = runs.iter().filter(|run| run.is_deadly && run.at > counted_from).collect();
     for run in &late {
-        let at = record.seconds(run.at);
-        let _ = writeln!(record.text, "{at:7.3} s  deadly request {} reaches engine {}", run.id, run.engine);
+        record.line(run.at, &format!("deadly request {} reaches engine {}", run.id, run.engine));
     }
     let cut: HashSet<&String> = crashes
         .iter()
@@ -201,26 +181,5 @@
 }
 
 fn main() -> ExitCode {
-    let mut arguments = std::env::args().skip(1);
-    let (Some(folder), Some(path)) = (arguments.next(), arguments.next()) else {
-        eprintln!("usage: poison FOLDER RECORD");
-        return ExitCode::from(2);
-    };
-    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
-    let mut record = Record { began: Instant::now(), text: String::new() };
-    let held = run(&PathBuf::from(folder), has_trouble, &mut record);
-    let verdict = match held {
-        Some(true) => "the rule held",
-        Some(false) => "the rule was broken",
-        None => "the case could not run",
-    };
-    record.note(verdict);
-    if std::fs::write(path, &record.text).is_err() {
-        return ExitCode::from(2);
-    }
-    match held {
-        Some(true) => ExitCode::SUCCESS,
-        Some(false) => ExitCode::from(1),
-        None => ExitCode::from(2),
-    }
+    record::main(run)
 }
