Encode names in the requests to the platform's store

Cause: the client put the name after which a listing goes on into the query as it is. The store read "after=R" and returned the same page each time. "#", "%" and "+" have the same effect, and with a space or a line break the request could not be built at all. Names in paths had the same fault: an object named "a/b" or "a?b" was another one.

Evidence: the client of the code before, against the tests' store with pages, for 0.9 s: "R&D-1": 7 requests, the last 6 for /objects/servers?after=R&D-1, at once; "R-D-1": 2 requests, listed. Ruled out: a page of 1 MB that is too much by itself, failed calls that are retried, a stale copy (docs/incidents/2026-12-endless-listing.md).

Change: names are percent-encoded by the library percent-encoding, as one component of the request target (yucca_io::uri).

--- a/crates/yucca-io/src/lib.rs
+++ b/crates/yucca-io/src/lib.rs
@@ -40,4 +40,5 @@
 pub mod settings;
 pub mod stop;
 pub mod store;
+pub mod uri;
 pub mod writer;
