End a listing whose pages lead nowhere, in the library

Cause: a listing went on for as long as the store said that there was more. Nothing compared a page with those before it, and nothing bounded what was kept. Any page that repeats has the same effect, whatever makes the store return it: a name that it reads differently, or copies that lag.

The log and the metrics did not tell of it, as a listing counted as one call, however many pages it had.

Change: the pages are put together in the library (yucca_serve::listing); platform/ requests one page. Each accepted page ends with a name of its own, so that a listing ends; one that gets no further fails as StoreFault::Stalled. Objects are kept once, the newest of each name. The follower tries again after 2 s, on the latest state if the state could be stale, goes on with what it knows, and writes E423 listing_stalled for the 1st, 2nd, 4th, 8th time in a row. Each page counts as a call, and yucca_stalled_listings_total counts listings that stall. Names are not compared by their order, as no page says by which rule the store orders them.

list_page_without_names expected NoAnswer for a page without a readable name; it expects Stalled now, which is as strict: the text is checked as before.

--- a/crates/yucca-emulator/src/store.rs
+++ b/crates/yucca-emulator/src/store.rs
@@ -9,7 +9,9 @@
 use yucca_serve::config::ServingConfig;
 use yucca_serve::directory::BackendEntry;
 use yucca_serve::organisations::{ApiKey, Organisation, Organisations};
-use yucca_serve::ports::{ConfigFault, Freshness, Kind, Object, ObjectStore, Objects, StoreFault};
+use yucca_serve::ports::{
+    ConfigFault, Freshness, Kind, Object, ObjectStore, Objects, Page, StoreFault,
+};
 use yucca_serve::revision::{era_of, number_of, revision};
 use yuccacove::prompt_placement::Phase;
 
@@ -27,6 +29,21 @@
     Refusing,
 }
 
+/// How the store divides a listing into pages.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Paging {
+    /// All objects are in one page.
+    Single,
+    /// Pages have this many objects, in the order of their names.
+    Pages(usize),
+    /// As [`Paging::Pages`], but each page is the first one.
+    FirstAgain(usize),
+    /// As [`Paging::Pages`], but in listings that may be stale each page is the first one.
+    FirstAgainIfStale(usize),
+    /// Each page is empty and says that there is more.
+    Empty,
+}
+
 /// An in-memory store.
 #[derive(Debug)]
 pub struct MemoryStore {
@@ -46,6 +63,8 @@
     /// Watches of generations before this one have been closed.
     closed_before: Cell<u64>,
     changed: Notify,
+    /// How listings are divided.
+    pub paging: Cell<Paging>,
     /// Time that each call takes, in milliseconds.
     pub latency_ms: Cell<u64>,
     /// Number of calls to the store.
@@ -68,6 +87,7 @@
             oldest_revision: Cell::new(0),
             closed_before: Cell::new(0),
             changed: Notify::new(),
+            paging: Cell::new(Paging::Single),
             latency_ms: Cell::new(0),
             calls: Cell::new(0),
             lagging_calls: Cell::new(0),
@@ -180,8 +200,35 @@
     }
 }
 
+/// Returns the page after the name `after` of these objects.
+fn page_of(mut objects: Vec<Object>, paging: Paging, after: Option<&[u8]>) -> Page {
+    let (count, after) = match paging {
+        Paging::Single | Paging::FirstAgainIfStale(_) => (usize::MAX, None),
+        Paging::Pages(count) => (count, after),
+        Paging::FirstAgain(count) => (count, None),
+        Paging::Empty => (0, None),
+    };
+    if paging != Paging::Single {
+        objects.sort_by(|a, b| a.name.cmp(&b.name));
+    }
+    objects.retain(|object| after.is_none_or(|after| object.name.as_bytes() > after));
+    let has_more = objects.len() > count || paging == Paging::Empty;
+    objects.truncate(count);
+    Page {
+        has_more,
+        last_name: objects.last().map(|last| last.name.clone().into_bytes()),
+        objects,
+        revision: 0,
+    }
+}
+
 impl ObjectStore for MemoryStore {
-    async fn list(&self, kind: Kind, freshness: Freshness) -> Result<Objects, StoreFault> {
+    async fn page(
+        &self,
+        kind: Kind,
+        freshness: Freshness,
+        after: Option<&[u8]>,
+    ) -> Result<Page, StoreFault> {
         if freshness == Freshness::MayLag {
             self.lagging_calls.set(self.lagging_calls.get() + 1);
         }
@@ -192,9 +239,17 @@
         let state = stale.unwrap_or(&latest);
         let of_kind = state.iter().filter(|(k, o)| *k == kind && !o.is_removed);
         let revision = state.iter().map(|(_, o)| o.revision).max().unwrap_or(0);
-        Ok(Objects {
-            objects: of_kind.map(|(_, o)| o.clone()).collect(),
+        let objects = of_kind.map(|(_, o)| o.clone()).collect();
+        let paging = match self.paging.get() {
+            Paging::FirstAgainIfStale(count) if freshness == Freshness::MayLag => {
+                Paging::FirstAgain(count)
+            }
+            Paging::FirstAgainIfStale(count) => Paging::Pages(count),
+            paging => paging,
+        };
+        Ok(Page {
             revision,
+            ..page_of(objects, paging, after)
         })
     }
 
--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -42,6 +42,9 @@
 const RETRY_MS: u64 = 150;
 /// Longest pause after a failed call.
 const MAX_RETRY_MS: u64 = 600;
+/// Pause after a listing that got no further. Each attempt reads its pages again, and after a restart of
+/// all hosts each of them may attempt it.
+const STALLED_RETRY_MS: u64 = 2_000;
 
 /// Whether the store responds to this host, as short probe calls show it. A waiting watch does not
 /// show it: one that the store has dropped looks like one without changes.
@@ -398,7 +401,7 @@
     pub async fn run(&self, mut apply: impl FnMut(&Objects, bool), record_result: impl Fn(bool)) {
         let mut known: Option<Known> = None;
         let mut is_expired = false;
-        let mut failures = 0;
+        let mut failures: u64 = 0;
         let mut transitions = self.store_health.transitions.subscribe();
         loop {
             transitions.mark_unchanged();
@@ -456,6 +459,17 @@
                     record_result(true);
                     is_expired = true;
                 }
+                Err(StoreFault::Stalled(cause)) => {
+                    failures += 1;
+                    self.relay.pause(self.kind);
+                    if failures.is_power_of_two() {
+                        let fields =
+                            format!("kind={:?} times={failures} cause={cause:?}", self.kind);
+                        log::write(Event::ListingStalled, &fields);
+                    }
+                    record_result(false);
+                    sleep(Duration::from_millis(STALLED_RETRY_MS)).await;
+                }
                 Err(fault) => {
                     failures += 1;
                     self.relay.pause(self.kind);
@@ -494,15 +508,24 @@
     async fn list(&self, is_expired: bool) -> Result<Objects, StoreFault> {
         let is_relay = self.relay.has_claim(self.kind);
         match self.kind {
-            Kind::Hosts if !is_expired => self.store.list(self.kind, Freshness::MayLag).await,
+            Kind::Hosts if !is_expired => self.list_lagging().await,
             Kind::BackEnds if !is_relay => self.list_confirmed().await,
             _ => self.store.list(self.kind, Freshness::Latest).await,
         }
     }
 
+    /// Returns a listing that may be stale, or the latest one if pages of different copies of the store
+    /// do not lead to its end.
+    async fn list_lagging(&self) -> Result<Objects, StoreFault> {
+        match self.store.list(self.kind, Freshness::MayLag).await {
+            Err(StoreFault::Stalled(_)) => self.store.list(self.kind, Freshness::Latest).await,
+            result => result,
+        }
+    }
+
     /// Returns a stale listing with the changes since its revision.
     async fn list_confirmed(&self) -> Result<Objects, StoreFault> {
-        let mut listing = self.store.list(self.kind, Freshness::MayLag).await?;
+        let mut listing = self.list_lagging().await?;
         let since = listing.revision;
         match self.store.watch(self.kind, since, CONFIRM_WAIT_MS).await {
             Ok(changes) => {
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod hash;
 pub mod held;
 pub mod host;
+pub mod listing;
 pub mod loads;
 pub mod metrics;
 pub mod named_limits;
--- a/crates/yucca-serve/src/metrics.rs
+++ b/crates/yucca-serve/src/metrics.rs
@@ -340,6 +340,11 @@
             "Calls to the object store",
             self.store_calls.total.clone(),
         );
+        registry.register(
+            "stalled_listings",
+            "Listings of the object store that got no further, by kind of objects",
+            self.store_calls.stalled_listings.clone(),
+        );
         registry.register(
             "organisations_over_share",
             "Organisations that had more than their fair share admitted",
--- a/crates/yucca-serve/src/ports.rs
+++ b/crates/yucca-serve/src/ports.rs
@@ -15,6 +15,7 @@
 use crate::config::ServingConfig;
 use crate::directory::BackendEntry;
 use crate::hash::hash_of;
+use crate::listing::list;
 use crate::organisations::SharedKey;
 use crate::request::Request;
 
@@ -86,6 +87,19 @@
     }
 }
 
+/// A page of a listing.
+#[derive(Debug, Clone, Default)]
+pub struct Page {
+    /// Objects of the page.
+    pub objects: Vec<Object>,
+    /// Whether the store has more objects than those up to the end of this page.
+    pub has_more: bool,
+    /// Name after which the next page begins, as bytes; `None` if no name in the page is readable.
+    pub last_name: Option<Vec<u8>>,
+    /// Revision up to which every change is included.
+    pub revision: u64,
+}
+
 /// Why a call to the store failed.
 #[derive(Debug, Clone, PartialEq)]
 pub enum StoreFault {
@@ -101,6 +115,8 @@
     Refused(u16),
     /// No response arrived. A write may have taken effect, or may still do so.
     NoAnswer(String),
+    /// The pages of a listing do not lead to its end, for the given reason.
+    Stalled(String),
 }
 
 /// Why a configuration cannot be used.
@@ -124,8 +140,22 @@
 /// Client of the platform's object store.
 #[expect(async_fn_in_trait, reason = "all users run on the host's one thread")]
 pub trait ObjectStore {
+    /// Returns a page of the objects of a kind: the first one, or the one that begins after the name
+    /// `after`.
+    async fn page(
+        &self,
+        kind: Kind,
+        freshness: Freshness,
+        after: Option<&[u8]>,
+    ) -> Result<Page, StoreFault>;
+
     /// Returns all objects of a kind as of one revision, which is `Objects::revision`.
-    async fn list(&self, kind: Kind, freshness: Freshness) -> Result<Objects, StoreFault>;
+    async fn list(&self, kind: Kind, freshness: Freshness) -> Result<Objects, StoreFault>
+    where
+        Self: Sized,
+    {
+        list(self, kind, freshness).await
+    }
 
     /// Waits up to `wait_ms` for changes of a kind after the revision `since` and returns them; the
     /// result has no objects if there were none.
--- a/crates/yucca-serve/src/store_calls.rs
+++ b/crates/yucca-serve/src/store_calls.rs
@@ -1,7 +1,7 @@
 //! Counts the calls to the object store, by operation, kind of objects and outcome.
 //!
-//! Each call has a price. The metrics and the log show which calls grow with the size of the fleet. A
-//! listing counts as one call, however many pages it has.
+//! Each call has a price. The metrics and the log show which calls grow with the size of the fleet.
+//! Each page of a listing is a call.
 
 use std::cell::RefCell;
 use std::fmt::Write as _;
@@ -18,7 +18,8 @@
 
 use crate::config::ServingConfig;
 use crate::directory::BackendEntry;
-use crate::ports::{ConfigFault, Freshness, Kind, Object, ObjectStore, Objects, StoreFault};
+use crate::listing::list;
+use crate::ports::{ConfigFault, Freshness, Kind, Object, ObjectStore, Objects, Page, StoreFault};
 
 /// Interval at which the calls since the last line are logged.
 const REPORT_INTERVAL: Duration = Duration::from_secs(10);
@@ -26,9 +27,9 @@
 /// What a call asks of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum Operation {
-    /// A full listing in its latest state.
+    /// A page of a listing in its latest state.
     List,
-    /// A full listing that may be stale.
+    /// A page of a listing that may be stale.
     LaggingList,
     /// A watch for changes.
     Watch,
@@ -68,11 +69,20 @@
     pub outcome: Outcome,
 }
 
+/// Label of the counter of stalled listings.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct KindLabel {
+    /// Kind of objects.
+    pub kind: Kind,
+}
+
 /// Numbers of calls by operation, kind of objects and outcome.
 #[derive(Debug, Default)]
 pub struct StoreCalls {
     /// Calls since the start of the process.
     pub total: Family<CallLabels, Counter>,
+    /// Listings whose pages did not lead to the end, since the start of the process.
+    pub stalled_listings: Family<KindLabel, Counter>,
     /// Calls since the last line in the log.
     unreported: RefCell<IndexMap<CallLabels, u64>>,
 }
@@ -137,7 +147,7 @@
     fn record<T>(&mut self, result: Result<T, StoreFault>) -> Result<T, StoreFault> {
         self.labels.outcome = match &result {
             Ok(_) => Outcome::Done,
-            Err(StoreFault::NoAnswer(_)) => Outcome::NoAnswer,
+            Err(StoreFault::NoAnswer(_) | StoreFault::Stalled(_)) => Outcome::NoAnswer,
             Err(_) => Outcome::Refused,
         };
         result
@@ -151,13 +161,27 @@
 }
 
 impl<S: ObjectStore> ObjectStore for CountedStore<S> {
-    async fn list(&self, kind: Kind, freshness: Freshness) -> Result<Objects, StoreFault> {
+    async fn page(
+        &self,
+        kind: Kind,
+        freshness: Freshness,
+        after: Option<&[u8]>,
+    ) -> Result<Page, StoreFault> {
         let operation = match freshness {
             Freshness::Latest => Operation::List,
             Freshness::MayLag => Operation::LaggingList,
         };
         let mut call = self.begin(operation, kind);
-        call.record(self.store.list(kind, freshness).await)
+        call.record(self.store.page(kind, freshness, after).await)
+    }
+
+    async fn list(&self, kind: Kind, freshness: Freshness) -> Result<Objects, StoreFault> {
+        let result = list(self, kind, freshness).await;
+        if matches!(result, Err(StoreFault::Stalled(_))) {
+            let label = KindLabel { kind };
+            self.calls.stalled_listings.get_or_create(&label).inc();
+        }
+        result
     }
 
     async fn watch(&self, kind: Kind, since: u64, wait_ms: u64) -> Result<Objects, StoreFault> {
--- a/crates/yucca-serve/tests/common/mod.rs
+++ b/crates/yucca-serve/tests/common/mod.rs
@@ -21,7 +21,7 @@
 use serde_json::Value;
 use tokio::task::LocalSet;
 use tokio::time::{Duration, Instant, sleep};
-pub use yucca_emulator::store::{MemoryStore as FakeStore, StoreMode};
+pub use yucca_emulator::store::{MemoryStore as FakeStore, Paging, StoreMode};
 use yucca_serve::config::{EngineSpec, Route, RouteKind, Service, ServingConfig, WeightedService};
 use yucca_serve::directory::BackendEntry;
 use yucca_serve::host::{Deployment, Host};
--- a/crates/yucca-serve/tests/follow.rs
+++ b/crates/yucca-serve/tests/follow.rs
@@ -5,7 +5,7 @@
 
 use std::rc::Rc;
 
-use common::{FakeStore, StoreMode, host, run_virtual, wait_ms};
+use common::{FakeStore, Paging, StoreMode, host, run_virtual, wait_ms};
 use serde_json::json;
 use tokio::task::spawn_local;
 use yucca_serve::directory::RETENTION_MS;
@@ -17,6 +17,9 @@
 const RECOVERY_MS: u64 = 3_000;
 /// Time within which a change must be applied while the store works normally.
 const CONFIG_MS: u64 = 2_000;
+/// Calls of two hosts in a minute in which their listings get no further: every two seconds two pages of
+/// the stale state and two of the latest one for each of two kinds, and a probe every 0.9 s.
+const MAX_STALLED_CALLS: u64 = 2 * (60 / 2 * 4 * 2 + 67);
 
 fn follow(store: &Rc<FakeStore>) -> Rc<Host<common::FakeBackends>> {
     let host = host();
@@ -256,3 +259,50 @@
         assert_eq!(usable(&host), 2);
     });
 }
+
+/// Guards against a host that reads the same page without end: it must go on with what it knows, call
+/// the store at a bounded rate, and catch up when the pages lead on again.
+#[test]
+fn follow_listing_stalls() {
+    for paging in [Paging::FirstAgain(1), Paging::Empty] {
+        run_virtual(async move {
+            let store = FakeStore::new();
+            for name in ["i-1", "i-2", "i-3"] {
+                put_backend(&store, name, false);
+            }
+            let running = follow(&store);
+            wait_ms(100).await;
+            assert_eq!(usable(&running), 3);
+            store.paging.set(paging);
+            store.drop_history();
+            let restarted = follow(&store);
+            wait_ms(1_000).await;
+            let calls = store.calls.get();
+            wait_ms(60_000).await;
+            let calls = store.calls.get() - calls;
+            assert!(calls < MAX_STALLED_CALLS, "{calls} {paging:?}");
+            assert_eq!(usable(&running), 3, "{paging:?}");
+            assert!(!restarted.directory.borrow().has_full_listing());
+            store.paging.set(Paging::Pages(1));
+            put_backend(&store, "i-3", true);
+            wait_ms(RECOVERY_MS).await;
+            assert_eq!(usable(&running), 2, "{paging:?}");
+            assert_eq!(usable(&restarted), 2, "{paging:?}");
+        });
+    }
+}
+
+/// Guards against a host that does not get ready because the pages of lagging copies do not lead on.
+#[test]
+fn follow_stale_listing_stalls() {
+    run_virtual(async {
+        let store = FakeStore::new();
+        for name in ["i-1", "i-2", "i-3"] {
+            put_backend(&store, name, false);
+        }
+        store.paging.set(Paging::FirstAgainIfStale(1));
+        let host = follow(&store);
+        wait_ms(100).await;
+        assert_eq!(usable(&host), 3);
+    });
+}
--- a/crates/yucca-serve/tests/key_withdrawal.rs
+++ b/crates/yucca-serve/tests/key_withdrawal.rs
@@ -18,7 +18,9 @@
 use yucca_serve::host::{Deployment, Host};
 use yucca_serve::organisations::ApiKey;
 use yucca_serve::peers::{follow_hosts, outgoing_datagrams, receive, register};
-use yucca_serve::ports::{ConfigFault, Freshness, Kind, Object, ObjectStore, Objects, StoreFault};
+use yucca_serve::ports::{
+    ConfigFault, Freshness, Kind, Object, ObjectStore, Objects, Page, StoreFault,
+};
 
 /// Time for which a withdrawn key may be accepted.
 const REVOKE_MS: u64 = 5_000;
@@ -66,8 +68,13 @@
 }
 
 impl ObjectStore for Link {
-    async fn list(&self, kind: Kind, freshness: Freshness) -> Result<Objects, StoreFault> {
-        self.pass(self.store.list(kind, freshness)).await
+    async fn page(
+        &self,
+        kind: Kind,
+        freshness: Freshness,
+        after: Option<&[u8]>,
+    ) -> Result<Page, StoreFault> {
+        self.pass(self.store.page(kind, freshness, after)).await
     }
 
     async fn watch(&self, kind: Kind, since: u64, wait_ms: u64) -> Result<Objects, StoreFault> {
--- a/crates/yucca-serve/tests/relay.rs
+++ b/crates/yucca-serve/tests/relay.rs
@@ -15,7 +15,9 @@
 use yucca_serve::follow::{follow_backends, follow_config, probe_store};
 use yucca_serve::hash::hash_of;
 use yucca_serve::host::{Deployment, Host};
-use yucca_serve::ports::{ConfigFault, Freshness, Kind, Object, ObjectStore, Objects, StoreFault};
+use yucca_serve::ports::{
+    ConfigFault, Freshness, Kind, Object, ObjectStore, Objects, Page, StoreFault,
+};
 use yucca_serve::relay::StoreUpdate;
 
 /// Time within which changes of backends and of the configuration must be applied.
@@ -46,6 +48,16 @@
 }
 
 impl ObjectStore for Link {
+    async fn page(
+        &self,
+        kind: Kind,
+        freshness: Freshness,
+        after: Option<&[u8]>,
+    ) -> Result<Page, StoreFault> {
+        self.check().await?;
+        self.store.page(kind, freshness, after).await
+    }
+
     async fn list(&self, kind: Kind, freshness: Freshness) -> Result<Objects, StoreFault> {
         self.lists.set(self.lists.get() + 1);
         self.check().await?;
--- a/src/event.rs
+++ b/src/event.rs
@@ -83,6 +83,7 @@
     UsageUnreported = 420, "usage_unreported", "The control API did not take the report of a time window; it is sent again.";
     UsageSkipped = 421, "usage_skipped", "Time windows are not reported by this holder: their reports may have been sent, or their counts are gone.";
     UsageDropped = 422, "usage_dropped", "Counted requests are missing in the usage reports: the time window of these is not known.";
+    ListingStalled = 423, "listing_stalled", "A listing of the object API gets no further: a page leads nowhere; it is tried again, and the line is written for the 1st, 2nd, 4th, 8th time in a row and so on.";
     ScaleOrdered = 431, "scale_ordered", "A number of engines was ordered from the platform.";
     ScaleRefused = 432, "scale_refused", "An order for engines was refused, or its outcome is unknown.";
     ScaleStopped = 433, "scale_stopped", "No more engines are ordered under this lease, because the platform seems to have seen a higher fencing token.";
