Keep only what describes a backend of the entries that are read

A host that starts while the store lists entries of other writers keeps their contents, decoded, until the listing ends.

Cause: the content of each entry was decoded into a JSON value and kept, whether it named a backend or not. Content of 1 MB may take more than ten times that as a value.

--- a/crates/yucca-serve/src/ports.rs
+++ b/crates/yucca-serve/src/ports.rs
@@ -52,7 +52,7 @@
     /// Store-wide revision of the last write, ordered over restores of the store as in
     /// [`crate::revision`].
     pub revision: u64,
-    /// Content; `None` if it cannot be decoded.
+    /// Content, or the part of it that hosts use; `None` if it cannot be decoded.
     pub value: Option<Value>,
     /// Whether the object has been removed or is being removed.
     pub is_removed: bool,
