--- a/crates/yucca-serve/src/listing.rs
+++ b/crates/yucca-serve/src/listing.rs
@@ -10,6 +10,13 @@
 use crate::ports::{Freshness, Kind, Object, ObjectStore, Objects, Page, StoreFault};
 use crate::revision::era_of;
 
+/// Maximum length of the names of backends, services and zones in bytes. Objects with longer names are
+/// other writers'.
+pub const MAX_NAME_BYTES: usize = 2_048;
+
+/// Maximum length of a character in UTF-8.
+const MAX_UTF8_BYTES: usize = 4;
+
 /// Lists all objects of a kind, page by page.
 ///
 /// # Errors
@@ -30,6 +37,20 @@
     }
 }
 
+/// Returns the name after which the page after `name` begins. A long name would make the request too
+/// long. Its first bytes with the highest character after them come after it, and skip only other long
+/// names that begin with the same bytes.
+fn start_after(mut name: Vec<u8>) -> Vec<u8> {
+    if name.len() > MAX_NAME_BYTES {
+        let is_cut = |end: &usize| name[*end] & 0xc0 == 0x80;
+        let ends = (MAX_NAME_BYTES - MAX_UTF8_BYTES..=MAX_NAME_BYTES).rev();
+        let end = ends.skip_while(is_cut).next().unwrap_or(MAX_NAME_BYTES);
+        name.truncate(end);
+        name.extend_from_slice(char::MAX.to_string().as_bytes());
+    }
+    name
+}
+
 /// Whether further pages are needed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Progress {
@@ -82,7 +103,7 @@
             return Err(StoreFault::Stalled(cause.to_owned()));
         };
         // Each page that is accepted has a last name of its own, so that a listing ends.
-        if !self.visited.insert(last_name) {
+        if !self.visited.insert(start_after(last_name)) {
             let cause = "a page ends with the same name as one before it";
             return Err(StoreFault::Stalled(cause.to_owned()));
         }
--- a/crates/yucca-serve/tests/listing.rs
+++ b/crates/yucca-serve/tests/listing.rs
@@ -135,3 +135,19 @@
     let result = listing([first, second]);
     assert!(matches!(result, Err(StoreFault::NoAnswer(_))), "{result:?}");
 }
+
+/// Guards against a request that is too long because of a long name, against one that cuts a character
+/// in half, and against a listing that does not go on after long names.
+#[test]
+fn listing_long_names() {
+    for (character, kept) in [("n", 2_048), ("\u{20ac}", 682), ("\u{1f980}", 512)] {
+        let long = character.repeat(50_000);
+        let mut listing = Listing::default();
+        let progress = listing.add(page(&[("a", 1), (&long, 2)], true, 9));
+        assert_eq!(progress, Ok(Progress::Continues));
+        let expected = format!("{}\u{10ffff}", character.repeat(kept));
+        assert_eq!(listing.after(), Some(expected.as_bytes()), "{character}");
+        let progress = listing.add(page(&[("z", 3)], false, 9));
+        assert_eq!(progress, Ok(Progress::Complete));
+    }
+}
