Tell operators which entries are passed over, in bounded volume

Cause: an entry that names no backend was logged each time that it was read, one line each, as other writers named it: 300 entries gave 300 lines of any length, and a line break in a name began a line of its own. Objects without a readable name or revision were not told of at all.

Change: for each response of the store the first eight such entries are logged and the rest is counted (E603), yucca_unusable_entries_total counts all. Texts from outside are quoted and cut in log lines (yucca_io::log::field): names of entries, peers, services and zones.

--- a/crates/yucca-emulator/src/store.rs
+++ b/crates/yucca-emulator/src/store.rs
@@ -219,6 +219,7 @@
         last_name: objects.last().map(|last| last.name.clone().into_bytes()),
         objects,
         revision: 0,
+        unreadable: 0,
     }
 }
 
@@ -271,7 +272,11 @@
             }
             if is_current && !objects.is_empty() {
                 let revision = self.revision();
-                return Ok(Objects { objects, revision });
+                return Ok(Objects {
+                    objects,
+                    revision,
+                    unreadable: 0,
+                });
             }
             tokio::select! {
                 () = changed => {}
@@ -285,6 +290,7 @@
                     return Ok(Objects {
                         objects: self.of_kind(kind, since),
                         revision: self.revision(),
+                        unreadable: 0,
                     });
                 }
             }
--- a/crates/yucca-io/src/log.rs
+++ b/crates/yucca-io/src/log.rs
@@ -1,5 +1,6 @@
 //! Process log with one line per numbered event, written to standard error or standard output.
 
+use std::borrow::Cow;
 use std::io::Write;
 use std::sync::{Mutex, PoisonError};
 
@@ -87,6 +88,28 @@
     }
 }
 
+/// Maximum length of a text from outside in a log line, in characters.
+const MAX_FIELD_CHARS: usize = 100;
+
+/// Returns a text from outside, such as a name that another writer chose, as the value of a field: quoted
+/// if it has characters that could end the field or the line, and cut if it is long.
+///
+/// ```
+/// use yucca_io::log::field;
+///
+/// assert_eq!(field("i-7f3a"), "i-7f3a");
+/// assert_eq!(field("a b\n"), r#""a b\n""#);
+/// assert_eq!(field(&"x".repeat(500)).len(), 100 + "\"\"...".len());
+/// ```
+pub fn field(text: &str) -> Cow<'_, str> {
+    let is_plain = |byte: u8| byte.is_ascii_graphic() && !matches!(byte, b'"' | b'\\');
+    match text.char_indices().nth(MAX_FIELD_CHARS) {
+        Some((end, _)) => Cow::from(format!("{:?}...", &text[..end])),
+        None if !text.is_empty() && text.bytes().all(is_plain) => Cow::from(text),
+        None => Cow::from(format!("{text:?}")),
+    }
+}
+
 /// Logs `event` at level `info`; `fields` are its `name=value` pairs.
 pub fn write(event: Event, fields: &str) {
     log::info!("{event} {fields}");
--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -8,15 +8,17 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Duration, Instant, sleep, timeout};
 use yucca_io::log;
+use yucca_io::log::field;
 use yuccacove::event::Event;
 
 use crate::boot_clock::BootClock;
-use crate::directory::Change;
+use crate::directory::{BackendEntry, Change};
 use crate::host::Host;
 use crate::ports::{Freshness, Kind, Object, ObjectStore, Objects, StoreFault};
 use crate::recency::ConfigRecency;
 use crate::relay::Relay;
 use crate::revision::{era_of, number_of};
+use crate::unusable_entries;
 
 /// Time for which a watch waits for changes, as a fraction of the bound within which a change must
 /// be applied. A store that becomes unresponsive for a moment may drop a watch; the host notices
@@ -171,7 +173,7 @@
                 // force, and counts as recent.
                 Err(fault) => log::write(
                     Event::CatalogueInvalid,
-                    &format!("name={} cause={fault}", object.name),
+                    &format!("name={} cause={fault}", field(&object.name)),
                 ),
             }
         }
@@ -233,9 +235,15 @@
         now_ms,
     );
     let mut changes = Vec::new();
+    let mut unusable = Vec::new();
     for object in &objects.objects {
-        changes.push(apply_backend(host, store, object, now_ms));
+        let entry = store.backend(object);
+        if entry.is_none() && !object.is_removed {
+            unusable.push(object);
+        }
+        changes.push(apply_backend(host, object, entry, now_ms));
     }
+    unusable_entries::report(&host.metrics, &unusable, objects.unreadable);
     if is_full_listing {
         let ids: Vec<&str> = objects.objects.iter().map(|o| o.name.as_str()).collect();
         let mut directory = host.directory.borrow_mut();
@@ -247,25 +255,17 @@
     host.directory.borrow_mut().remove_departed(now_ms);
 }
 
-fn apply_backend<B, S: ObjectStore>(
+/// Applies the state of an object; `entry` is its content if that describes a backend.
+fn apply_backend<B>(
     host: &Host<B>,
-    store: &S,
     object: &Object,
+    entry: Option<BackendEntry>,
     now_ms: u64,
 ) -> Change {
     let mut directory = host.directory.borrow_mut();
-    if object.is_removed {
-        return directory.apply_removal(&object.name, object.revision, now_ms);
-    }
-    match store.backend(object) {
+    match entry.filter(|_| !object.is_removed) {
         Some(entry) => directory.apply_entry(&object.name, object.revision, entry, now_ms),
-        None => {
-            log::write(
-                Event::CatalogueInvalid,
-                &format!("name={} revision={}", object.name, object.revision),
-            );
-            directory.apply_removal(&object.name, object.revision, now_ms)
-        }
+        None => directory.apply_removal(&object.name, object.revision, now_ms),
     }
 }
 
@@ -282,7 +282,10 @@
         event,
         &format!(
             "back_end={} service={} address={} phase={:?} revision={revision}",
-            backend.target.id, backend.entry.service, backend.target.address, backend.entry.phase
+            field(&backend.target.id),
+            field(&backend.entry.service),
+            backend.target.address,
+            backend.entry.phase
         ),
     );
 }
@@ -351,6 +354,7 @@
         Objects {
             objects: changed.cloned().chain(removals).collect(),
             revision: listing.revision,
+            unreadable: 0,
         }
     }
 }
@@ -463,8 +467,7 @@
                     failures += 1;
                     self.relay.pause(self.kind);
                     if failures.is_power_of_two() {
-                        let fields =
-                            format!("kind={:?} times={failures} cause={cause:?}", self.kind);
+                        let fields = format!("kind={:?} times={failures} cause={cause}", self.kind);
                         log::write(Event::ListingStalled, &fields);
                     }
                     record_result(false);
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod serve;
 pub mod store_calls;
 pub mod stream;
+mod unusable_entries;
 pub mod usage;
 
 pub use yucca_io::caller_connections as connections;
--- a/crates/yucca-serve/src/listing.rs
+++ b/crates/yucca-serve/src/listing.rs
@@ -6,6 +6,7 @@
 //! fails with [`StoreFault::Stalled`] instead of requesting pages without end.
 
 use indexmap::{IndexMap, IndexSet};
+use yucca_io::log::field;
 
 use crate::ports::{Freshness, Kind, Object, ObjectStore, Objects, Page, StoreFault};
 use crate::revision::era_of;
@@ -43,8 +44,8 @@
 fn start_after(mut name: Vec<u8>) -> Vec<u8> {
     if name.len() > MAX_NAME_BYTES {
         let is_cut = |end: &usize| name[*end] & 0xc0 == 0x80;
-        let ends = (MAX_NAME_BYTES - MAX_UTF8_BYTES..=MAX_NAME_BYTES).rev();
-        let end = ends.skip_while(is_cut).next().unwrap_or(MAX_NAME_BYTES);
+        let mut ends = (MAX_NAME_BYTES - MAX_UTF8_BYTES..=MAX_NAME_BYTES).rev();
+        let end = ends.find(|end| !is_cut(end)).unwrap_or(MAX_NAME_BYTES);
         name.truncate(end);
         name.extend_from_slice(char::MAX.to_string().as_bytes());
     }
@@ -69,6 +70,7 @@
     /// compares names by a rule of its own.
     visited: IndexSet<Vec<u8>>,
     revision: Option<u64>,
+    unreadable: usize,
 }
 
 impl Listing {
@@ -92,6 +94,7 @@
         // A watch since the lowest revision of the pages also returns the changes made while the
         // others were read. A stale page may be older than the one before it.
         self.revision = Some(first_revision.min(page.revision));
+        self.unreadable += page.unreadable;
         for object in page.objects {
             self.add_object(object);
         }
@@ -99,17 +102,25 @@
             return Ok(Progress::Complete);
         }
         let Some(last_name) = page.last_name else {
-            let cause = "no object of a page has a readable name";
-            return Err(StoreFault::Stalled(cause.to_owned()));
+            return Err(self.stalled("no object of the page has a readable name"));
         };
         // Each page that is accepted has a last name of its own, so that a listing ends.
         if !self.visited.insert(start_after(last_name)) {
-            let cause = "a page ends with the same name as one before it";
-            return Err(StoreFault::Stalled(cause.to_owned()));
+            return Err(self.stalled("the page ends with the same name as one before it"));
         }
         Ok(Progress::Continues)
     }
 
+    /// Returns the fault of the page that was requested last.
+    fn stalled(&self, cause: &str) -> StoreFault {
+        let after = self.after().map(String::from_utf8_lossy);
+        let page = after.map_or("first".to_owned(), |after| {
+            format!("after {}", field(&after))
+        });
+        let pages = self.visited.len() + 1;
+        StoreFault::Stalled(format!("{cause}; page={page} pages={pages}"))
+    }
+
     fn add_object(&mut self, object: Object) {
         let known = self.objects.get(&object.name);
         if known.is_none_or(|known| known.revision <= object.revision) {
@@ -122,6 +133,7 @@
         Objects {
             objects: self.objects.into_values().collect(),
             revision: self.revision.unwrap_or(0),
+            unreadable: self.unreadable,
         }
     }
 }
--- a/crates/yucca-serve/src/metrics.rs
+++ b/crates/yucca-serve/src/metrics.rs
@@ -137,6 +137,8 @@
     pub usage_pending: Gauge,
     /// Calls to the object store.
     pub store_calls: Rc<StoreCalls>,
+    /// Entries in the store that name no backend, counted each time that the store returns one.
+    pub unusable_entries: Counter,
     /// Organisations over their share of the service that was decided about last.
     pub organisations_over: Gauge,
     /// Questions of operators about placements that were answered.
@@ -181,6 +183,7 @@
             usage_late: Counter::default(),
             usage_pending: Gauge::default(),
             store_calls: Rc::default(),
+            unusable_entries: Counter::default(),
             organisations_over: Gauge::default(),
             explanations: Counter::default(),
             refused_explanations: Counter::default(),
@@ -340,6 +343,11 @@
             "Calls to the object store",
             self.store_calls.total.clone(),
         );
+        registry.register(
+            "unusable_entries",
+            "Entries read from the object store that name no back end",
+            self.unusable_entries.clone(),
+        );
         registry.register(
             "stalled_listings",
             "Listings of the object store that got no further, by kind of objects",
--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -16,6 +16,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Duration, Instant, sleep, sleep_until};
 use yucca_io::log;
+use yucca_io::log::field;
 use yuccacove::crash_cause::PartReport;
 use yuccacove::engine_speed::PrefillSample;
 use yuccacove::event::Event;
@@ -940,14 +941,19 @@
     let mut hosts = host.peers.hosts.borrow_mut();
     match peer.filter(|_| !object.is_removed) {
         Some(peer) => {
-            let fields = format!("peer={name} address={} zone={}", peer.address, peer.zone);
+            let fields = format!(
+                "peer={} address={} zone={}",
+                field(name),
+                peer.address,
+                field(&peer.zone)
+            );
             if hosts.insert(name.to_owned(), peer.clone()) != Some(peer) {
                 log::write(Event::PeerJoined, &fields);
             }
         }
         None => {
             if hosts.swap_remove(name).is_some() {
-                log::write(Event::PeerLost, &format!("peer={name}"));
+                log::write(Event::PeerLost, &format!("peer={}", field(name)));
             }
         }
     }
--- a/crates/yucca-serve/src/ports.rs
+++ b/crates/yucca-serve/src/ports.rs
@@ -72,6 +72,8 @@
     pub objects: Vec<Object>,
     /// Revision up to which every change is included.
     pub revision: u64,
+    /// Number of further objects that were passed over, because their names or revisions cannot be read.
+    pub unreadable: usize,
 }
 
 impl Objects {
@@ -84,6 +86,7 @@
             }
         }
         self.revision = self.revision.max(changes.revision);
+        self.unreadable += changes.unreadable;
     }
 }
 
@@ -98,6 +101,8 @@
     pub last_name: Option<Vec<u8>>,
     /// Revision up to which every change is included.
     pub revision: u64,
+    /// Number of further objects whose names or revisions cannot be read.
+    pub unreadable: usize,
 }
 
 /// Why a call to the store failed.
--- a/crates/yucca-serve/src/relay.rs
+++ b/crates/yucca-serve/src/relay.rs
@@ -557,6 +557,7 @@
         Self {
             objects: objects.collect(),
             revision: batch.to,
+            unreadable: 0,
         }
     }
 }
--- a/crates/yucca-serve/tests/listing.rs
+++ b/crates/yucca-serve/tests/listing.rs
@@ -21,6 +21,7 @@
         has_more,
         last_name: objects.last().map(|(name, _)| name.as_bytes().to_vec()),
         revision: as_of,
+        unreadable: 0,
     }
 }
 
--- a/crates/yucca-serve/tests/store_calls.rs
+++ b/crates/yucca-serve/tests/store_calls.rs
@@ -4,7 +4,7 @@
 
 use std::rc::Rc;
 
-use common::{FakeStore, StoreMode, run_virtual, wait_ms};
+use common::{FakeStore, Paging, StoreMode, run_virtual, wait_ms};
 use serde_json::json;
 use tokio::task::spawn_local;
 use yucca_serve::metrics::Metrics;
@@ -52,6 +52,36 @@
     });
 }
 
+/// Guards against a listing whose pages cannot be told from the metrics, so that one that gets no further
+/// looks like a single call.
+#[test]
+fn store_calls_pages_and_stalled_listings() {
+    run_virtual(async {
+        let store = FakeStore::new();
+        for name in ["i-1", "i-2", "i-3"] {
+            store.put(Kind::BackEnds, name, Some(json!({})));
+        }
+        let metrics = Metrics::default();
+        let counted = CountedStore::new(Rc::clone(&store), Rc::clone(&metrics.store_calls));
+        store.paging.set(Paging::Pages(1));
+        let listing = counted.list(Kind::BackEnds, Freshness::Latest).await;
+        assert_eq!(listing.expect("a listing").objects.len(), 3);
+        assert_eq!(
+            metrics.store_calls.take_unreported(),
+            "List/BackEnds/Done=3 "
+        );
+        store.paging.set(Paging::FirstAgain(1));
+        let stalled = counted.list(Kind::BackEnds, Freshness::MayLag).await;
+        stalled.expect_err("a fault");
+        assert_eq!(
+            metrics.store_calls.take_unreported(),
+            "LaggingList/BackEnds/Done=2 "
+        );
+        let line = "yucca_stalled_listings_total{kind=\"BackEnds\"} 1";
+        assert!(metrics.text().contains(line), "{}", metrics.text());
+    });
+}
+
 /// A watch that the host stops waiting for has had its price, so it must be counted too.
 #[test]
 fn store_calls_abandoned() {
