Encode keys and ids in the product's own calls

Cause: the client of the object API, which yucca-entry, yucca-control and yuccactl share, put keys and prefixes into paths and queries as they are. Its stand-in decodes both, so that "server/a#b" was written as "server/a". yuccactl could not ask for a request or an object with a blank or "&" in its name, and the operators' port did not decode what it was asked.

Change: keys and prefixes are encoded part by part, ids as one component; the operators' port decodes parameters; the stand-ins decode by the library percent-encoding in place of own code, and the tests' store of yuccactl decodes as well. This API returns a listing in one response, so that no page has to go on after a name.

--- a/crates/yucca-entry/src/operators.rs
+++ b/crates/yucca-entry/src/operators.rs
@@ -49,7 +49,7 @@
     let Some(id) = request.parameter("request") else {
         return Reply::text(400, "expected ?request=ID\n");
     };
-    let decisions = host.decisions.explain(id);
+    let decisions = host.decisions.explain(&id);
     if decisions.is_empty() {
         return Reply::text(404, "no decision about this request is kept\n");
     }
--- a/crates/yucca-entry/src/probe.rs
+++ b/crates/yucca-entry/src/probe.rs
@@ -12,6 +12,7 @@
 use yucca_io::connections::Connection;
 use yucca_io::http_client::EngineReport;
 use yucca_io::segmented_body::SegmentedBody;
+use yucca_io::uri::encode_component;
 
 /// Largest body of a response, such as a status report.
 const MAX_STATUS_BYTES: usize = 64 * 1_024;
@@ -35,7 +36,7 @@
 ///
 /// A human-readable message when the engine does not confirm within `limit_ms`.
 pub async fn cancel(address: SocketAddr, request_id: &str, limit_ms: u64) -> Result<(), String> {
-    let path = format!("/v1/requests/{request_id}");
+    let path = format!("/v1/requests/{}", encode_component(request_id));
     match call(Method::DELETE, &path, address, limit_ms).await? {
         (200..=299 | 404, _) => Ok(()),
         (status, _) => Err(format!("status {status}")),
--- a/crates/yucca-io/src/operators.rs
+++ b/crates/yucca-io/src/operators.rs
@@ -1,11 +1,13 @@
 //! The operators' port of a daemon: an HTTP server that handles one small request at a time.
 
+use std::borrow::Cow;
 use std::io::Read;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 
 use anyhow::{Result, anyhow};
+use percent_encoding::percent_decode_str;
 use tiny_http::{Header, Method, Request, Response, Server};
 
 /// Maximum size of a request body.
@@ -25,13 +27,13 @@
 }
 
 impl OperatorsRequest {
-    /// Value of the query parameter `name`, without percent-decoding.
-    pub fn parameter(&self, name: &str) -> Option<&str> {
+    /// Value of the query parameter `name`, decoded.
+    pub fn parameter(&self, name: &str) -> Option<Cow<'_, str>> {
         self.query
             .split('&')
             .filter_map(|pair| pair.split_once('='))
             .find(|(key, _)| *key == name)
-            .map(|(_, value)| value)
+            .map(|(_, value)| percent_decode_str(value).decode_utf8_lossy())
     }
 }
 
--- a/crates/yucca-io/src/store.rs
+++ b/crates/yucca-io/src/store.rs
@@ -8,6 +8,8 @@
 use ureq::Agent;
 use ureq::http::Response;
 
+use crate::uri::encode_key;
+
 /// Timeout of a read or write.
 const CALL_TIMEOUT_MS: u64 = 2_000;
 /// Time added to the period for which the store holds a watch open, to get the timeout of the call.
@@ -106,7 +108,7 @@
     ///
     /// Any [`StoreError`] except `Conflict` and `Expired`.
     pub fn get(&self, key: &str) -> Result<Option<StoredObject>, StoreError> {
-        let url = format!("{}/objects/{key}", self.base_url);
+        let url = self.object_url(key);
         let response = self.read(&url, CALL_TIMEOUT_MS)?;
         match response.status().as_u16() {
             404 => Ok(None),
@@ -125,7 +127,7 @@
     pub fn put(&self, key: &str, expected_version: u64, value: &Value) -> Result<u64, StoreError> {
         let response = self
             .agent
-            .put(format!("{}/objects/{key}", self.base_url))
+            .put(self.object_url(key))
             .config()
             .timeout_global(Some(Duration::from_millis(CALL_TIMEOUT_MS)))
             .build()
@@ -144,7 +146,7 @@
     pub fn delete(&self, key: &str, expected_version: u64) -> Result<u64, StoreError> {
         let response = self
             .agent
-            .delete(format!("{}/objects/{key}", self.base_url))
+            .delete(self.object_url(key))
             .config()
             .timeout_global(Some(Duration::from_millis(CALL_TIMEOUT_MS)))
             .build()
@@ -160,7 +162,7 @@
     ///
     /// The errors of [`Store::get`].
     pub fn list(&self, prefix: &str) -> Result<Changes, StoreError> {
-        let url = format!("{}/objects?prefix={prefix}", self.base_url);
+        let url = format!("{}/objects?prefix={}", self.base_url, encode_key(prefix));
         let response = self.read(&url, CALL_TIMEOUT_MS)?;
         match response.status().as_u16() {
             200 => read_json(response),
@@ -182,8 +184,9 @@
         timeout_ms: u64,
     ) -> Result<Changes, StoreError> {
         let url = format!(
-            "{}/watch?prefix={prefix}&after={revision}&timeout_ms={timeout_ms}",
-            self.base_url
+            "{}/watch?prefix={}&after={revision}&timeout_ms={timeout_ms}",
+            self.base_url,
+            encode_key(prefix)
         );
         let response = self.read(&url, timeout_ms + WATCH_TIMEOUT_MARGIN_MS)?;
         match response.status().as_u16() {
@@ -193,6 +196,10 @@
         }
     }
 
+    fn object_url(&self, key: &str) -> String {
+        format!("{}/objects/{}", self.base_url, encode_key(key))
+    }
+
     fn read(&self, url: &str, timeout_ms: u64) -> Result<Response<ureq::Body>, StoreError> {
         self.agent
             .get(url)
--- a/crates/yucca-standins/src/call.rs
+++ b/crates/yucca-standins/src/call.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use percent_encoding::percent_decode_str;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use tiny_http::{Header, Request, Response};
@@ -208,19 +209,6 @@
         .unwrap_or_else(|()| Header::from_bytes("x-invalid-header", "1").expect("constant header"))
 }
 
-/// Decodes percent-encoding; invalid escapes are left unchanged.
 fn percent_decode(text: &str) -> String {
-    let mut bytes = Vec::with_capacity(text.len());
-    let mut rest = text.as_bytes();
-    while let [first, tail @ ..] = rest {
-        let escaped = match (first, tail) {
-            (b'%', [high, low, ..]) => str::from_utf8(&[*high, *low])
-                .ok()
-                .and_then(|digits| u8::from_str_radix(digits, 16).ok()),
-            _ => None,
-        };
-        bytes.push(escaped.unwrap_or(*first));
-        rest = if escaped.is_some() { &tail[2..] } else { tail };
-    }
-    String::from_utf8_lossy(&bytes).into_owned()
+    percent_decode_str(text).decode_utf8_lossy().into_owned()
 }
--- a/crates/yuccactl/src/view.rs
+++ b/crates/yuccactl/src/view.rs
@@ -6,6 +6,7 @@
 
 use serde_json::json;
 use yucca_io::http_client::EngineReport;
+use yucca_io::uri::encode_component;
 use yuccacove::catalogue::KEY_PREFIXES;
 use yuccacove::code::Code;
 use yuccacove::error::{Error, Result};
@@ -105,7 +106,7 @@
 /// [`Code::ObjectMissing`] if no host that responds knows the request.
 pub fn explain(session: &Session, request: &str) -> Result<()> {
     let hosts: Vec<_> = session.settings.hosts.iter().collect();
-    let path = format!("/v1/explain?request={request}");
+    let path = format!("/v1/explain?request={}", encode_component(request));
     let responses = call_all(&hosts, |(_, host)| session.http.get(host.operators, &path));
     let mut known = false;
     for ((name, _), response) in hosts.iter().zip(responses) {
--- a/crates/yuccactl/tests/commands.rs
+++ b/crates/yuccactl/tests/commands.rs
@@ -388,7 +388,7 @@
     let explain = json!({ "request": "r1", "event": "routed" });
     let host = serve(move |_, url, _, _| match url {
         "/readyz" => (200, json!({})),
-        "/v1/explain?request=r1" => (200, explain.clone()),
+        "/v1/explain?request=r1" | "/v1/explain?request=R%26D%201" => (200, explain.clone()),
         _ => (404, json!({})),
     });
     let fleet = Fleet::with_hosts(&[host, closed_port()]);
@@ -419,6 +419,11 @@
     let (out, _) = fleet.expect(&["explain", "r1"], 0);
     assert!(out.starts_with("entry-0 {"), "{out}");
     fleet.expect(&["explain", "r2"], 1);
+    let (out, _) = fleet.expect(&["explain", "R&D 1"], 0);
+    assert!(out.starts_with("entry-0 {"), "{out}");
+    fleet.store.put("server/R&D 1?", &json!({ "zone": "a" }));
+    let (out, _) = fleet.expect(&["get", "server/R&D 1?"], 0);
+    assert!(out.contains(r#""key":"server/R&D 1?""#), "{out}");
 }
 
 /// Guards against a cost statement that omits the usage of a host or does not add up to the total
--- a/crates/yuccactl/tests/fakes/mod.rs
+++ b/crates/yuccactl/tests/fakes/mod.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use tiny_http::{Response, Server};
 
@@ -88,13 +89,15 @@
     fn handle(&mut self, method: &str, url: &str, expected: u64, body: &str) -> (u16, Value) {
         let object = |(key, (version, value)): (&String, &(u64, Value))| json!({ "key": key, "version": version, "value": value });
         if let Some(prefix) = url.strip_prefix("/v1/objects?prefix=") {
+            let prefix = decode(prefix);
             let objects = self.objects.iter();
-            let matching = objects.filter(|(key, _)| key.starts_with(prefix));
+            let matching = objects.filter(|(key, _)| key.starts_with(&prefix));
             let objects: Vec<Value> = matching.map(object).collect();
             let list = json!({ "revision": self.revision, "objects": objects });
             return (200, list);
         }
         let key = url.strip_prefix("/v1/objects/").expect("an object's path");
+        let key = &decode(key);
         if method == "GET" {
             let found = self.objects.get_key_value(key).map(object);
             return found.map_or((404, json!({})), |found| (200, found));
@@ -127,6 +130,10 @@
     }
 }
 
+fn decode(text: &str) -> String {
+    percent_decode_str(text).decode_utf8_lossy().into_owned()
+}
+
 /// Starts an HTTP server on a loopback port that responds with the status and body that `handle`
 /// returns for the method, URL, `If-Match` version (0 if absent) and body of a request.
 pub fn serve(
