Look names of a listing up in a set

Cause: a full listing was compared with the known backends, and a new listing with the one before, by searching the whole listing for each name. With many entries of other writers beside many backends the host does nothing else for that time.

Change: both look names up in a set.

--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use yuccacove::engine_speed::{PrefillSample, ServiceSpeed};
 use yuccacove::explanation::Rule;
 use yuccacove::passive_health::PassiveHealth;
@@ -563,10 +563,11 @@
     /// Applies a full listing as of `revision`: backends that are not in `ids` are removed.
     pub fn apply_full_listing(&mut self, ids: &[&str], revision: u64, now_ms: u64) -> Vec<Change> {
         self.has_full_listing = true;
+        let ids: IndexSet<&str> = ids.iter().copied().collect();
         let missing: Vec<String> = self
             .by_id
             .keys()
-            .filter(|id| !ids.contains(&id.as_str()))
+            .filter(|id| !ids.contains(id.as_str()))
             .cloned()
             .collect();
         missing
--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -4,7 +4,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use tokio::sync::{Notify, watch};
 use tokio::time::{Duration, Instant, sleep, timeout};
 use yucca_io::log;
@@ -343,8 +343,9 @@
         let listed = listing.objects.iter();
         let is_known = |o: &Object| self.objects.get(&o.name) == Some(&ObjectState::of(o));
         let changed = listed.filter(|o| o.revision > self.revision && !is_known(o));
-        let is_listed = |name: &&String| listing.objects.iter().any(|o| o.name == **name);
-        let removed = self.objects.keys().filter(|name| !is_listed(name));
+        let names: IndexSet<&str> = listing.objects.iter().map(|o| o.name.as_str()).collect();
+        let removed = self.objects.keys();
+        let removed = removed.filter(|name| !names.contains(name.as_str()));
         let removals = removed.map(|name| Object {
             name: name.clone(),
             revision: listing.revision,
