Take an entry that is missing after a stalled listing for removed

Cause: a stalled listing counted as an outage of the store. After an outage a missing entry may have expired, so that its backend stays in use for a while; here the store responds.

Evidence: follow_listing_stalls_backend_leaves failed before: i-2, removed during the stall, still serves 2.1 s after the pages lead on again.

Change: a stalled listing is recorded as a response of the store.

--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -471,7 +471,8 @@
                         let fields = format!("kind={:?} times={failures} cause={cause}", self.kind);
                         log::write(Event::ListingStalled, &fields);
                     }
-                    record_result(false);
+                    // The store responds, so that entries which are missing later have been removed.
+                    record_result(true);
                     sleep(Duration::from_millis(STALLED_RETRY_MS)).await;
                 }
                 Err(fault) => {
--- a/crates/yucca-serve/src/ports.rs
+++ b/crates/yucca-serve/src/ports.rs
@@ -72,7 +72,8 @@
     pub objects: Vec<Object>,
     /// Revision up to which every change is included.
     pub revision: u64,
-    /// Number of further objects that were passed over, because their names or revisions cannot be read.
+    /// Number of further objects that were passed over, because their names or revisions cannot be read
+    /// or their names are too long.
     pub unreadable: usize,
 }
 
@@ -101,7 +102,7 @@
     pub last_name: Option<Vec<u8>>,
     /// Revision up to which every change is included.
     pub revision: u64,
-    /// Number of further objects whose names or revisions cannot be read.
+    /// Number of further objects whose names or revisions cannot be read or whose names are too long.
     pub unreadable: usize,
 }
 
--- a/crates/yucca-serve/tests/follow.rs
+++ b/crates/yucca-serve/tests/follow.rs
@@ -17,6 +17,8 @@
 const RECOVERY_MS: u64 = 3_000;
 /// Time within which a change must be applied while the store works normally.
 const CONFIG_MS: u64 = 2_000;
+/// Pause after a listing that got no further.
+const STALLED_RETRY_MS: u64 = 2_000;
 /// Calls of two hosts in a minute in which their listings get no further: every two seconds two pages of
 /// the stale state and two of the latest one for each of two kinds, and a probe every 0.9 s.
 const MAX_STALLED_CALLS: u64 = 2 * (60 / 2 * 4 * 2 + 67);
@@ -292,6 +294,34 @@
     }
 }
 
+/// Guards against work for a backend that left while listings got no further. The store responded all
+/// the while, so that a missing entry has not expired in an outage.
+#[test]
+fn follow_listing_stalls_backend_leaves() {
+    run_virtual(async {
+        let store = FakeStore::new();
+        for name in ["i-1", "i-2"] {
+            put_backend(&store, name, false);
+        }
+        let host = follow(&store);
+        wait_ms(100).await;
+        store.paging.set(Paging::FirstAgain(1));
+        put_backend(&store, "i-3", false);
+        store.put(Kind::BackEnds, "i-2", None);
+        store.drop_history();
+        wait_ms(10_000).await;
+        store.paging.set(Paging::Pages(1));
+        wait_ms(STALLED_RETRY_MS + 100).await;
+        let directory = host.directory.borrow();
+        let serving = directory.serving("desk", host.now_ms());
+        let ids: Vec<&str> = serving
+            .iter()
+            .map(|key| &*directory.get(*key).target.id)
+            .collect();
+        assert_eq!(ids, ["i-1", "i-3"]);
+    });
+}
+
 /// Guards against a host that does not get ready because the pages of lagging copies do not lead on.
 #[test]
 fn follow_stale_listing_stalls() {
