Let the tests of orders poll the stand-in store faster than its limit

Cause: the test lists the store in a loop without a pause, and the stand-in takes 2,000 reads a second. Where a list takes less than half a millisecond for a second or so, the test itself exceeds the limit. The daemon's calls are far below it, and no test of this file is about it.

Change: the store of these tests takes a million reads a second. All checks stay, and the store is sampled as often as before; a pause between the polls would have sampled it less.

--- a/crates/yucca-control/tests/orders.rs
+++ b/crates/yucca-control/tests/orders.rs
@@ -19,6 +19,9 @@
 use yuccacove::order::OrderTiming;
 use yuccacove::roles::RolesPolicy;
 
+/// Reads of the store per second. The tests themselves poll it without a pause, faster than the platform's
+/// limit on a fast machine.
+const READS_PER_S: u32 = 1_000_000;
 /// Timeout of each wait; a run takes a few seconds.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 const ANY_LOCAL_PORT: &str = "127.0.0.1:0";
@@ -34,7 +37,10 @@
 impl Pool {
     fn new(engines: usize, checks_fence: bool) -> Self {
         let listen = ANY_LOCAL_PORT.parse().expect("an address");
-        let store = standin_store::Store::new(standin_store::Config::default());
+        let store = standin_store::Store::new(standin_store::Config {
+            reads_per_s: READS_PER_S,
+            ..standin_store::Config::default()
+        });
         let store_address = spawn_standin(listen, store).expect("a store");
         let spawn = |index: usize| {
             let mut config = EngineConfig::new(&name(index), spec("v1"));
