Let a relay that the store turns away follow the other relays

Any other host gets them from the relays. Cause: its claim is suspended and not given up, so that it counts as watching and drops what others send. The suspended claim is there for an outage for all hosts, after which the relays watch first. Evidence: relay_turned_away_follows_others failed on the first change, refused or silent. Ruled out: lost datagrams (none lost in the test); the host's own retries (they wait for a probe that succeeds). Change: once its probes have failed for longer than a relay counts as fresh, and another relay is fresh, the store is there for others, and the host gives up its claims. In an outage for all no relay is fresh by then.

--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -52,7 +52,8 @@
 /// show it: one that the store has dropped looks like one without changes.
 #[derive(Debug)]
 pub struct StoreHealth {
-    is_unavailable: Cell<bool>,
+    /// Time of the first of the probes that have failed since the latest successful one.
+    unavailable_since: Cell<Option<Instant>>,
     /// Number of times that the store became unavailable or available again.
     transitions: watch::Sender<u64>,
     /// Start of the latest probe that got a response.
@@ -65,7 +66,7 @@
 impl Default for StoreHealth {
     fn default() -> Self {
         Self {
-            is_unavailable: Cell::new(false),
+            unavailable_since: Cell::new(None),
             transitions: watch::Sender::new(0),
             last_success: Cell::new(None),
             interval_ms: Cell::new(PROBE_INTERVAL_MS),
@@ -78,7 +79,10 @@
     /// Records the outcome of a probe. Watches are restarted when the store stops responding, and
     /// again when it responds.
     pub fn record(&self, is_success: bool) {
-        if self.is_unavailable.replace(!is_success) != self.is_unavailable.get() {
+        let was_unavailable = self.is_unavailable();
+        let since = self.unavailable_since.get().unwrap_or_else(Instant::now);
+        self.unavailable_since.set((!is_success).then_some(since));
+        if self.is_unavailable() != was_unavailable {
             self.transitions
                 .send_modify(|transitions| *transitions += 1);
         }
@@ -92,10 +96,7 @@
 
     /// Returns the time since the start of the latest successful probe; `None` while probes fail.
     pub fn age_ms(&self) -> Option<u64> {
-        let last_success = self
-            .last_success
-            .get()
-            .filter(|_| !self.is_unavailable.get())?;
+        let last_success = self.last_success.get().filter(|_| !self.is_unavailable())?;
         u64::try_from(last_success.elapsed().as_millis()).ok()
     }
 
@@ -125,7 +126,14 @@
 
     /// Whether the last probe failed.
     pub fn is_unavailable(&self) -> bool {
-        self.is_unavailable.get()
+        self.unavailable_since.get().is_some()
+    }
+
+    /// Returns the time for which probes have failed; 0 if the last one succeeded.
+    pub fn unavailable_ms(&self) -> u64 {
+        let since = self.unavailable_since.get();
+        let elapsed = since.map_or(Duration::ZERO, |since| since.elapsed());
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
     }
 }
 
--- a/crates/yucca-serve/src/relay.rs
+++ b/crates/yucca-serve/src/relay.rs
@@ -471,6 +471,7 @@
         let mut uncovered_since_ms = None;
         loop {
             received.mark_unchanged();
+            self.yield_if_turned_away();
             if self.is_watching() {
                 return None;
             }
@@ -500,6 +501,17 @@
         }
     }
 
+    /// Makes a host rely on others that the store turns away while it serves them. In an outage of the
+    /// store for all, no relay is fresh any more by then, and the relays keep their claims.
+    fn yield_if_turned_away(&self) {
+        let is_lasting = self.store_health.unavailable_ms() > self.fresh_ms;
+        if is_lasting && self.relays.borrow().fresh_relays(self.now_ms()) > 0 {
+            *self.claims.borrow_mut() = Default::default();
+            *self.is_confirmed.borrow_mut() = Default::default();
+            *self.paused.borrow_mut() = Default::default();
+        }
+    }
+
     /// Removes and returns the oldest batch that continues from `since`. Older batches are
     /// discarded.
     fn take_batch(&self, at: usize, since: u64) -> Option<Batch> {
--- a/crates/yucca-serve/tests/relay.rs
+++ b/crates/yucca-serve/tests/relay.rs
@@ -220,9 +220,15 @@
     }
 
     fn change_config(&self) {
+        self.change_config_of(0);
+    }
+
+    /// Writes a configuration that has `padding_bytes` besides its version.
+    fn change_config_of(&self, padding_bytes: usize) {
         let version = self.version.get() + 1;
-        self.store
-            .put(Kind::Config, "main", Some(json!({ "version": version })));
+        let padding = "x".repeat(padding_bytes);
+        let value = json!({ "version": version, "padding": padding });
+        self.store.put(Kind::Config, "main", Some(value));
         self.version.set(version);
     }
 
@@ -448,6 +454,64 @@
     });
 }
 
+/// Guards against a host that the store turns away and that learns no configuration from its peers:
+/// those of real deployments fit into no datagram.
+#[test]
+fn relay_large_configuration_without_store() {
+    let cases = [
+        (7, 0.0, 24_000, StoreMode::Refusing),
+        (7, 0.3, 24_000, StoreMode::Unresponsive),
+        (60, 0.05, 24_000, StoreMode::Refusing),
+        (7, 0.0, 90_000, StoreMode::Refusing),
+    ];
+    for (hosts, loss, padding_bytes, mode) in cases {
+        run_virtual(async {
+            let group = Group::spawn(hosts, loss, 1);
+            wait_ms(10_000).await;
+            let member = &group.members[group.followers()[0]];
+            member.link.mode.set(mode);
+            for change in 0..5 {
+                group.change_config_of(padding_bytes);
+                // Storms of changes, and changes after a while.
+                wait_ms(330).await;
+                group.change_config_of(padding_bytes);
+                wait_ms(BOUND_MS).await;
+                assert!(
+                    member.knows(group.backends.get(), group.version.get()),
+                    "{hosts} hosts, loss {loss}, {padding_bytes} bytes, {mode:?}, change {change}"
+                );
+            }
+        });
+    }
+}
+
+/// Guards against a relay that the store turns away and that takes nothing from the other relays.
+#[test]
+fn relay_turned_away_follows_others() {
+    for mode in [StoreMode::Refusing, StoreMode::Unresponsive] {
+        run_virtual(async {
+            let group = Group::spawn(7, 0.0, 1);
+            wait_ms(10_000).await;
+            let turned_away = group.relays()[0];
+            let member = &group.members[turned_away];
+            member.link.mode.set(mode);
+            wait_ms(3_000).await;
+            for change in 0..5 {
+                group.add_backend();
+                group.change_config();
+                wait_ms(BOUND_MS).await;
+                assert!(
+                    member.knows(group.backends.get(), group.version.get()),
+                    "{mode:?}, change {change}"
+                );
+            }
+            member.link.mode.set(StoreMode::Up);
+            wait_ms(12_000).await;
+            assert_eq!(group.relays().len(), 2, "{mode:?}, afterwards");
+        });
+    }
+}
+
 /// Guards against calls to the store by each host that has lost datagrams: half of a group of 60
 /// made 254 in ten bursts of changes.
 #[test]
