Give hosts that the store turns away changes that fit into no datagram

Seen: hosts that the store turns away while it serves others apply no configuration for as long as that lasts, although their peers have it, and refuse keyed requests as unproven. Changes of back ends reach them at once. Cause: relays send what fits into a datagram of 1,280 bytes. Configurations of real deployments have several kB, so that each host but the relays has one road only, its own call. Class of fault: a mechanism that one path has and another lacks. Tests missed it as their configurations have 20 bytes. Change: a relay keeps the latest state of such changes in one piece; a host that lacks it and whose probes fail requests it part by part. Hosts that reach the store read it as before, as parts to all of them would fill links of 10 Mbit/s. The types of relayed changes move to a module of their own.

--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -51,6 +51,8 @@
 mod prefill;
 pub mod recency;
 pub mod relay;
+mod relay_batch;
+pub mod relay_parts;
 pub mod reply;
 pub mod request;
 pub mod revision;
--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -33,6 +33,7 @@
 use crate::ports::{Kind, Object, ObjectStore, Objects, StoreFault};
 use crate::recency::{Answer, Question};
 use crate::relay::{ChangeRequest, StoreUpdate};
+use crate::relay_parts::{Part, PartRequest};
 use crate::usage::{HostUsage, OtherHost, UsageMessage};
 
 /// Interval in which updates are collected before they are sent.
@@ -207,6 +208,10 @@
     DemandAnswer(DemandAnswer),
     /// Counts for usage reports, and what the hosts agree on for them.
     Usage(UsageMessage),
+    /// Request for parts of a change that fits into no datagram.
+    StorePartRequest(PartRequest),
+    /// A part of such a change.
+    StorePart(Part),
 }
 
 /// Load update: the sender's part of the engines' work.
@@ -404,8 +409,14 @@
     let requests = requests.map(|(rank, request)| (rank, Datagram::StoreRequest(request)));
     let answers = host.relay.take_answers().into_iter();
     let answers = answers.map(|(rank, update)| (rank, Datagram::Store(update)));
+    let part_requests = host.relay.take_part_requests().into_iter();
+    let part_requests =
+        part_requests.map(|(rank, request)| (rank, Datagram::StorePartRequest(request)));
+    let parts = host.relay.take_parts().into_iter();
+    let parts = parts.map(|(rank, part)| (rank, Datagram::StorePart(part)));
+    let all = requests.chain(answers).chain(part_requests).chain(parts);
     let hosts = host.peers.hosts.borrow();
-    let addressed = requests.chain(answers).filter_map(|(rank, datagram)| {
+    let addressed = all.filter_map(|(rank, datagram)| {
         let recipient = hosts.values().find(|peer| peer.id == HostId(rank))?;
         Some((vec![recipient.address], datagram))
     });
@@ -704,6 +715,8 @@
         Ok((Datagram::Load(update), length)) => apply_load(host, update, &bytes[length..]),
         Ok((Datagram::Store(update), _)) => host.relay.receive(update),
         Ok((Datagram::StoreRequest(request), _)) => host.relay.receive_request(request),
+        Ok((Datagram::StorePartRequest(request), _)) => host.relay.receive_part_request(&request),
+        Ok((Datagram::StorePart(part), _)) => host.relay.receive_part(part),
         Ok((Datagram::Crashes(reports), _)) => apply_crashes(host, &reports),
         Ok((Datagram::Limits(reports), _)) => {
             let mut rates = host.rates.borrow_mut();
--- a/crates/yucca-serve/src/relay.rs
+++ b/crates/yucca-serve/src/relay.rs
@@ -19,19 +19,13 @@
 
 use crate::follow::StoreHealth;
 use crate::hash::hash_of;
-use crate::ports::{Kind, Object, Objects};
+use crate::ports::{Kind, Objects};
+use crate::relay_batch::{Batch, MAX_BATCHES, batches, relayed_object};
+use crate::relay_parts::{Assembly, KeptChange, Part, PartRequest};
 use crate::revision::era_of;
 
 /// Number of kinds of objects whose changes are relayed.
 const KINDS: usize = 3;
-/// Maximum size of the objects in one datagram, which with its other fields stays below the smallest
-/// common packet size. Entries of backends have about 250 bytes.
-const MAX_BATCH_BYTES: usize = 1_280;
-/// Size of an object's fields besides its name and value, at most.
-const OBJECT_OVERHEAD_BYTES: usize = 24;
-/// Maximum number of datagrams for the changes of one watch. If there are more changes, none is
-/// relayed and the hosts read them from the store.
-const MAX_BATCHES: usize = 16;
 /// Maximum number of received datagrams of a kind that wait to be applied.
 const MAX_QUEUED: usize = 4 * MAX_BATCHES;
 /// Maximum number of datagrams of a kind that a relay keeps, for hosts that have lost some.
@@ -70,32 +64,6 @@
 /// Interval at which a host checks whether it can still rely on others.
 const CHECK_MS: u64 = 50;
 
-/// All changes of one kind with revisions after `from` up to and including `to`.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct Batch {
-    kind: usize,
-    from: u64,
-    to: u64,
-    objects: Vec<RelayedObject>,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct RelayedObject {
-    name: String,
-    revision: u64,
-    is_removed: bool,
-    /// Content as JSON text; `None` if it cannot be decoded.
-    value: Option<String>,
-}
-
-impl RelayedObject {
-    /// Size in a datagram in bytes, at most.
-    fn size(&self) -> usize {
-        let value = self.value.as_ref().map_or(0, String::len);
-        self.name.len() + value + OBJECT_OVERHEAD_BYTES
-    }
-}
-
 /// What a relay sends to the others: its claims, and changes if there are any.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreUpdate {
@@ -151,6 +119,14 @@
     kept: RefCell<[VecDeque<Batch>; KINDS]>,
     /// Changes to send once to a host that has requested them, each with the rank of that host.
     answers: RefCell<Vec<(u64, Batch)>>,
+    /// Changes that fit into no datagram, by kind.
+    kept_large: RefCell<[KeptChange; KINDS]>,
+    /// Parts of such changes to send once, each with the rank of the host that has requested them.
+    parts: RefCell<Vec<(u64, Part)>>,
+    /// Requests for parts, each with the rank of the relay.
+    part_requests: RefCell<Vec<(u64, PartRequest)>>,
+    /// Received parts, by kind.
+    assemblies: RefCell<[Option<Assembly>; KINDS]>,
     /// Requests to send, each with the rank of the relay.
     requests: RefCell<Vec<(u64, ChangeRequest)>>,
     /// Number of requests made, and time of the last one of each kind.
@@ -193,6 +169,10 @@
             outbox: RefCell::default(),
             kept: RefCell::default(),
             answers: RefCell::default(),
+            kept_large: RefCell::default(),
+            parts: RefCell::default(),
+            part_requests: RefCell::default(),
+            assemblies: RefCell::default(),
             requests: RefCell::default(),
             requested: RefCell::default(),
             inbox: RefCell::default(),
@@ -206,6 +186,8 @@
         !self.outbox.borrow().is_empty()
             || !self.answers.borrow().is_empty()
             || !self.requests.borrow().is_empty()
+            || !self.parts.borrow().is_empty()
+            || !self.part_requests.borrow().is_empty()
     }
 
     /// Returns the ranks of the relays that this host relies on: the hashes of their names.
@@ -334,9 +316,77 @@
             since,
         };
         self.requests.borrow_mut().push((rank, request));
+        if self.store_health.is_unavailable() {
+            self.request_parts(at, since, &ahead, rank);
+        }
         self.updates.notify_one();
     }
 
+    /// Requests the parts of a change that fits into no datagram: the rest of them from the relay that
+    /// has sent the first ones, otherwise all from the relay `next`.
+    fn request_parts(&self, at: usize, since: u64, ahead: &[u64], next: u64) {
+        let slot = &mut self.assemblies.borrow_mut()[at];
+        let is_useless = |assembly: &Assembly| {
+            assembly.to <= since || assembly.is_stalled() || !ahead.contains(&assembly.sender)
+        };
+        if slot.as_ref().is_some_and(is_useless) {
+            *slot = None;
+        }
+        let (rank, to, missing) = match slot {
+            Some(assembly) => (assembly.sender, assembly.to, assembly.next_request()),
+            None => (next, 0, Vec::new()),
+        };
+        let request = PartRequest {
+            sender: self.rank,
+            kind: at,
+            since,
+            to,
+            missing,
+        };
+        self.part_requests.borrow_mut().push((rank, request));
+    }
+
+    /// Returns and forgets the requests for parts to send, each with the rank of the relay.
+    pub fn take_part_requests(&self) -> Vec<(u64, PartRequest)> {
+        std::mem::take(&mut self.part_requests.borrow_mut())
+    }
+
+    /// Returns and forgets the parts to send, each with the rank of its recipient.
+    pub fn take_parts(&self) -> Vec<(u64, Part)> {
+        std::mem::take(&mut self.parts.borrow_mut())
+    }
+
+    /// Handles a request for parts: sends them if this host is a relay and has them.
+    pub fn receive_part_request(&self, request: &PartRequest) {
+        if request.kind >= KINDS || !self.is_relay() {
+            return;
+        }
+        let parts = self.kept_large.borrow()[request.kind].parts(request, self.rank);
+        let parts = parts.into_iter().map(|part| (request.sender, part));
+        self.parts.borrow_mut().extend(parts);
+        self.updates.notify_one();
+    }
+
+    /// Handles a part that this host has requested. Once all are there, the change counts as received.
+    pub fn receive_part(&self, part: Part) {
+        if part.kind >= KINDS || self.is_watching() {
+            return;
+        }
+        let at = part.kind;
+        let slot = &mut self.assemblies.borrow_mut()[at];
+        match slot {
+            Some(assembly) if assembly.accepts(&part) => assembly.add(part),
+            Some(assembly) if assembly.to >= part.to => return,
+            _ => *slot = Assembly::begin(part),
+        }
+        let change = slot.as_ref().and_then(Assembly::change);
+        if let Some(change) = change.filter(|change| change.kind == at) {
+            *slot = None;
+            self.inbox.borrow_mut()[at].push_back(change);
+            self.received.send_modify(|received| *received += 1);
+        }
+    }
+
     /// Handles an update from a relay.
     pub fn receive(&self, update: StoreUpdate) {
         let StoreUpdate {
@@ -409,6 +459,13 @@
                 }
                 batches
             };
+            let change = Batch {
+                kind: at,
+                from: continues_from,
+                to: last,
+                objects: changes.objects.iter().map(relayed_object).collect(),
+            };
+            self.kept_large.borrow_mut()[at].record(change, batches.is_empty());
             let kept = &mut self.kept.borrow_mut()[at];
             kept.extend(batches.iter().cloned());
             let excess = kept.len().saturating_sub(MAX_KEPT);
@@ -486,7 +543,8 @@
                 uncovered_since_ms = None;
             } else {
                 let uncovered_ms = now_ms - *uncovered_since_ms.get_or_insert(now_ms);
-                if uncovered_ms >= self.uncovered_ms {
+                // A host that the store turns away goes on to request the change from others.
+                if uncovered_ms >= self.uncovered_ms && !self.store_health.is_unavailable() {
                     return None;
                 }
                 if uncovered_ms >= self.request_after_ms {
@@ -555,25 +613,6 @@
     }
 }
 
-impl From<Batch> for Objects {
-    fn from(batch: Batch) -> Self {
-        let objects = batch.objects.into_iter().map(|relayed| Object {
-            name: relayed.name,
-            revision: relayed.revision,
-            // Text that is not JSON counts as content that cannot be decoded.
-            value: relayed
-                .value
-                .and_then(|text| serde_json::from_str(&text).ok()),
-            is_removed: relayed.is_removed,
-        });
-        Self {
-            objects: objects.collect(),
-            revision: batch.to,
-            unreadable: 0,
-        }
-    }
-}
-
 fn claim_at(revision: u64) -> Claim {
     Claim {
         from: revision,
@@ -589,51 +628,3 @@
         Kind::Leases | Kind::Usage => None,
     }
 }
-
-/// Splits the changes that a watch since `from` returned into datagrams; returns none if there are
-/// too many changes or some are too large. Objects with the same revision stay together: a host
-/// that has received one of them counts as having all changes up to that revision.
-fn batches(kind: usize, from: u64, changes: &Objects) -> Vec<Batch> {
-    let mut objects: Vec<RelayedObject> = changes.objects.iter().map(relayed_object).collect();
-    objects.sort_by_key(|object| object.revision);
-    let mut batches: Vec<Batch> = Vec::new();
-    let mut bytes = 0;
-    for group in objects.chunk_by(|a, b| a.revision == b.revision) {
-        let group_bytes: usize = group.iter().map(RelayedObject::size).sum();
-        if group_bytes > MAX_BATCH_BYTES {
-            return Vec::new();
-        }
-        let to = group[0].revision;
-        bytes += group_bytes;
-        match batches.last_mut() {
-            Some(batch) if bytes <= MAX_BATCH_BYTES => {
-                batch.objects.extend_from_slice(group);
-                batch.to = to;
-            }
-            last => {
-                let from = last.map_or(from, |batch| batch.to);
-                let objects = group.to_vec();
-                batches.push(Batch {
-                    kind,
-                    from,
-                    to,
-                    objects,
-                });
-                bytes = group_bytes;
-            }
-        }
-    }
-    if batches.len() > MAX_BATCHES {
-        return Vec::new();
-    }
-    batches
-}
-
-fn relayed_object(object: &Object) -> RelayedObject {
-    RelayedObject {
-        name: object.name.clone(),
-        revision: object.revision,
-        is_removed: object.is_removed,
-        value: object.value.as_ref().map(ToString::to_string),
-    }
-}
--- a/crates/yucca-serve/tests/relay.rs
+++ b/crates/yucca-serve/tests/relay.rs
@@ -290,6 +290,17 @@
                     relay.host.relay.receive_request(request);
                 }
             }
+            for (rank, request) in sender.host.relay.take_part_requests() {
+                if let Some(relay) = recipient(rank) {
+                    relay.host.relay.receive_part_request(&request);
+                }
+            }
+            for (rank, part) in sender.host.relay.take_parts() {
+                sent_bytes.set(sent_bytes.get() + part.bytes.len() as u64);
+                if let Some(member) = recipient(rank) {
+                    member.host.relay.receive_part(part);
+                }
+            }
             for (rank, update) in sender.host.relay.take_answers() {
                 count_sent(&update, 1);
                 if let Some(member) = recipient(rank) {
@@ -485,6 +496,27 @@
     }
 }
 
+/// Guards against a host that waits for the rest of a change from a relay that has gone.
+#[test]
+fn relay_parts_of_killed_relay() {
+    for killed in [0, 1] {
+        run_virtual(async {
+            let group = Group::spawn(7, 0.0, 1);
+            wait_ms(10_000).await;
+            let relays = group.relays();
+            let member = &group.members[group.followers()[0]];
+            member.link.mode.set(StoreMode::Refusing);
+            wait_ms(1_500).await;
+            group.change_config_of(90_000);
+            // The host has some of the parts by then.
+            wait_ms(450).await;
+            group.members[relays[killed]].kill();
+            wait_ms(BOUND_MS - 450).await;
+            assert!(member.knows(group.backends.get(), group.version.get()));
+        });
+    }
+}
+
 /// Guards against a relay that the store turns away and that takes nothing from the other relays.
 #[test]
 fn relay_turned_away_follows_others() {
