Apply no configuration with a lower version after a restore of the store

Hosts go back to those of a quick succession that they have not seen, and answer 404 on routes of the newest version for about 5 s. Cause: after a restore a lower version was taken for a later one unless the host had had the same content. Hosts skip versions of a storm, as a watch pauses after a change. Class of fault: an order that depends on what a host happens to have seen. Evidence: follow_restored_store_unseen_versions_written_again failed with version 12 in force after 16. Change: the version decides alone. Versions increase, what the store has lost is written again, and an accepted change never reverts. The module config_order is gone.

--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -185,7 +185,6 @@
                 ),
             }
         }
-        host.record_config_revision(objects.revision);
     };
     let follower = Follower {
         store: &*store,
--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -16,7 +16,6 @@
 
 use crate::boot_clock::BootClock;
 use crate::config::ServingConfig;
-use crate::config_order::ConfigOrder;
 use crate::connections::Connections;
 use crate::demand::HostDemand;
 use crate::directory::{BackendKey, Directory};
@@ -142,7 +141,6 @@
     /// Counts for usage reports; `None` if none are due.
     pub usage: Option<HostUsage>,
     config: RefCell<Option<Rc<ServingConfig>>>,
-    config_order: RefCell<ConfigOrder>,
     retry_budgets: RefCell<IndexMap<String, Budget>>,
     host_count: Cell<u32>,
     shutdown: Cell<Shutdown>,
@@ -187,7 +185,6 @@
             recency,
             usage,
             config: RefCell::default(),
-            config_order: RefCell::default(),
             retry_budgets: RefCell::default(),
             host_count: Cell::new(1),
             shutdown: Cell::new(shutdown),
@@ -256,13 +253,12 @@
         *self.config.borrow_mut() = Some(Rc::new(config));
     }
 
-    /// Activates the configuration in an object of the store if it is newer than the active one.
-    /// `road` tells how the object came.
+    /// Activates the configuration in an object of the store if its version is higher than that of the
+    /// active one. A lower one is a version that the store has lost in a restore and that the operator
+    /// writes again. `road` tells how the object came.
     pub fn update_config(&self, config: ServingConfig, object: &Object, road: Road) {
         let active = self.config.borrow().as_ref().map(|c| c.version);
-        let mut order = self.config_order.borrow_mut();
-        let content = object.content_hash();
-        if order.is_newer(config.version, object.revision, content, active) {
+        if active.is_none_or(|active| config.version > active) {
             if let Some(recency) = &self.recency {
                 recency.record_config(ConfigId {
                     revision: object.revision,
@@ -277,11 +273,6 @@
         }
     }
 
-    /// Records that the host has all changes of the configuration up to `revision`.
-    pub fn record_config_revision(&self, revision: u64) {
-        self.config_order.borrow_mut().record(revision);
-    }
-
     /// Whether the host can serve: it has a configuration and a full listing of the backends, can check
     /// API keys, and is not stopping.
     pub fn is_ready(&self) -> bool {
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -27,7 +27,6 @@
 pub mod boot_clock;
 pub mod choose;
 pub mod config;
-pub mod config_order;
 pub mod crashes;
 pub mod demand;
 mod departed;
