Read software versions and resumed tries, with tests that streams keep to a version

The version in an engine's entry was not kept and the try that a caller resumes was not read. No decision uses them yet.

--- a/crates/yucca-emulator/src/store.rs
+++ b/crates/yucca-emulator/src/store.rs
@@ -352,6 +352,7 @@
             started_ms: value["started"].as_u64().unwrap_or(0),
             is_spot: false,
             leaves_ms: None,
+            software: value["software"].as_str().unwrap_or_default().into(),
         })
     }
 
--- a/crates/yucca-serve/src/backend_arena.rs
+++ b/crates/yucca-serve/src/backend_arena.rs
@@ -43,6 +43,7 @@
             phase: Phase::Decode,
             is_spot: false,
             leaves_ms: None,
+            software: "".into(),
             started_ms: 0,
         };
         Self {
--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -64,6 +64,8 @@
     /// Start time of the incarnation, in milliseconds of its own wall clock. It distinguishes
     /// incarnations.
     pub started_ms: u64,
+    /// Version of the backend's software; empty if its entry names none.
+    pub software: Rc<str>,
 }
 
 /// State of a backend's registration, which decides whether it gets new work.
--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -288,11 +288,12 @@
     log::write(
         event,
         &format!(
-            "back_end={} service={} address={} phase={:?} revision={revision}",
+            "back_end={} service={} address={} phase={:?} software={} revision={revision}",
             field(&backend.target.id),
             field(&backend.entry.service),
             backend.target.address,
-            backend.entry.phase
+            backend.entry.phase,
+            field(&backend.entry.software),
         ),
     );
 }
--- a/crates/yucca-serve/src/request.rs
+++ b/crates/yucca-serve/src/request.rs
@@ -29,6 +29,8 @@
     pub prompt: Option<Prompt>,
     /// Id of the last event that the caller has received; set when it resumes a stream.
     pub resume_after: Option<u64>,
+    /// Id of the caller's try that brought the first event of the stream; `None` if the caller names none.
+    pub resumed_id: Option<String>,
     /// API key that the caller sent; `None` if it sent none or several.
     pub api_key: Option<ApiKey>,
     /// Name of the organisation of the API key, which the back end receives; `None` until the key was
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Duration, sleep, sleep_until};
 use yucca_io::log;
+use yucca_io::log::field;
 use yuccacove::code::Code;
 use yuccacove::connection_budget::Shortage;
 use yuccacove::event::Event;
@@ -394,15 +395,18 @@
         Some(PrefillGuard::begin(context, key, choice))
     };
     let pending_ms = prefill.as_ref().map_or(0.0, |prefill| prefill.pending_ms);
+    let software = Rc::clone(&host.directory.borrow().get(key).entry.software);
     log::write(
         Event::Routed,
         &format!(
-            "request={} route={} config={} stage=run back_end={} has_prompt={} pending_ms={pending_ms:.0} \
+            "request={} route={} config={} stage=run back_end={} software={} resumed={} has_prompt={} pending_ms={pending_ms:.0} \
              read_ms={:.0} first_token_ms={:.0} left_ms={}",
             context.request.id,
             context.route.name,
             context.config_version,
             target.id,
+            field(&software),
+            field(context.request.resumed_id.as_deref().unwrap_or_default()),
             call.kv_cache.is_some(),
             choice.prefill_ms,
             choice.first_token_ms,
--- a/crates/yucca-serve/tests/common/mod.rs
+++ b/crates/yucca-serve/tests/common/mod.rs
@@ -278,6 +278,12 @@
         scripts.entry(id.to_owned()).or_default().extend(steps);
     }
 
+    /// Sets the behaviour of the backends `ids` for their next call, in place of all scripts so far.
+    pub fn script_only(&self, ids: &[String], step: &Step) {
+        let scripts = ids.iter().map(|id| (id.clone(), [step.clone()].into()));
+        *self.scripts.borrow_mut() = scripts.collect();
+    }
+
     /// Sets the outcomes of the next remote prefills; without a script they succeed.
     pub fn script_prefills(&self, outcomes: impl IntoIterator<Item = Result<(), CallFault>>) {
         self.prefills.borrow_mut().extend(outcomes);
@@ -546,6 +552,7 @@
         started_ms: 1,
         is_spot: false,
         leaves_ms: None,
+        software: "v1".into(),
     }
 }
 
--- /dev/null
+++ b/crates/yucca-serve/tests/software_versions.rs
@@ -0,0 +1,494 @@
+//! Tests that a stream holds events of engines of one software version only, in one answer and over
+//! the tries of its caller at any host, while engines of two versions serve.
+
+mod common;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use common::{
+    Chunk, FakeBackends, FakeStore, Step, StoreMode, deployment, entry, generation, route,
+    run_virtual, serving_host, wait_ms,
+};
+use http_body_util::BodyExt;
+use serde_json::json;
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::Instant;
+use yucca_serve::config::RouteKind;
+use yucca_serve::follow::{follow_backends, probe_store};
+use yucca_serve::host::{Deployment, Host};
+use yucca_serve::peers::{follow_hosts, outgoing_datagrams, receive, register};
+use yucca_serve::ports::Kind;
+use yucca_serve::reply::Reply;
+use yucca_serve::request::Request;
+use yucca_serve::roles::{LEASE_NAME, RoleLease, maintain_lease};
+use yucca_serve::serve::serve;
+use yuccacove::prompt_placement::Phase;
+
+const FIRST: &str = "id: 1\ndata: a\n\n";
+const SECOND: &str = "id: 2\ndata: b\n\n";
+const RESUMABLE: RouteKind = RouteKind::Stream { is_resumable: true };
+const DELIVERY_INTERVAL_MS: u64 = 10;
+/// Time after which streams that began before cannot be resumed any more, with a margin: the route of
+/// the tests allows 4 s.
+const FORGOTTEN_MS: u64 = 10_000;
+
+/// Returns the number of events of a reply, and whether it is complete.
+async fn read(reply: Reply) -> (usize, bool) {
+    let mut body = reply.body;
+    let mut events = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return (events, false);
+        };
+        let bytes = frame.into_data().map_or_else(|_| Bytes::new(), Bytes::from);
+        events += bytes.windows(3).filter(|window| window == b"id:").count();
+    }
+    (events, true)
+}
+
+fn interrupted() -> Step {
+    Step::Respond(200, vec![Chunk::Bytes(0, FIRST), Chunk::Broken(5)])
+}
+
+/// Guards against a broken stream that is resumed, within its answer, at an engine of another version.
+#[test]
+fn resume_in_answer_same_version() {
+    for has_other_of_version in [false, true] {
+        run_virtual(async {
+            let host = serving_host(route(RESUMABLE, 3));
+            let rest = Step::Respond(200, vec![Chunk::Bytes(0, SECOND)]);
+            let mut entries = vec![("gen-2", 5, "v2"), ("gen-3", 6, "v2"), ("gen-4", 7, "v2")];
+            if has_other_of_version {
+                entries.push(("gen-5", 8, "v1"));
+                host.backends.script("gen-5", [rest.clone()]);
+            }
+            for (id, _, _) in &entries[..3] {
+                host.backends.script(id, [rest.clone()]);
+            }
+            host.backends.script("gen-1", [interrupted()]);
+            // Only the first engine is known at first.
+            host.directory.borrow_mut().apply_removal("gen-2", 2, 0);
+            let reply = serve(&host, generation()).await;
+            for (id, number, software) in entries {
+                let mut entry = entry("model", number, Phase::Decode);
+                entry.software = software.into();
+                host.directory.borrow_mut().apply_entry(id, 3, entry, 0);
+            }
+            let read = read(reply).await;
+            let attempts = host.backends.attempts();
+            let ids: Vec<&str> = attempts.iter().map(|call| call.id.as_str()).collect();
+            if has_other_of_version {
+                assert_eq!((read, ids), ((2, true), vec!["gen-1", "gen-5"]));
+            } else {
+                assert_eq!((read, ids), ((1, false), vec!["gen-1"]));
+            }
+        });
+    }
+}
+
+struct Member {
+    host: Rc<Host<FakeBackends>>,
+    address: String,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Member {
+    fn spawn(store: &Rc<FakeStore>, number: usize, incarnation: u64) -> Rc<Self> {
+        let own = Deployment {
+            name: format!("entry-{number}"),
+            ..deployment()
+        };
+        let name = own.name.clone();
+        let address = format!("10.9.{}.{}:7000", number / 250, number % 250 + 1);
+        let seed = number as u64 + 1_000 * incarnation;
+        let host = Rc::new(Host::new(own, FakeBackends::default(), seed));
+        let config = serving_host(route(RESUMABLE, 1)).config();
+        host.set_config((*config.expect("a configuration")).clone());
+        let health = Rc::clone(&host.relay.store_health);
+        let started = Instant::now();
+        let lease = Rc::new(RoleLease::new(&name, move || {
+            1 + started.elapsed().as_millis() as u64
+        }));
+        let observed = Rc::clone(&lease);
+        let socket_address = address.parse().expect("an address");
+        let tasks = vec![
+            spawn_local(follow_backends(
+                Rc::clone(&host),
+                Rc::clone(store),
+                Rc::clone(&health),
+            )),
+            spawn_local(follow_hosts(
+                Rc::clone(&host),
+                Rc::clone(store),
+                Rc::clone(&health),
+            )),
+            spawn_local(register(Rc::clone(&host), Rc::clone(store), socket_address)),
+            spawn_local(probe_store(
+                Rc::clone(&health),
+                Rc::clone(store),
+                Kind::Leases,
+                LEASE_NAME,
+                move |object| observed.observe(object),
+            )),
+            spawn_local(maintain_lease(Rc::clone(&lease), Rc::clone(store), health)),
+        ];
+        Rc::new(Self {
+            host,
+            address,
+            tasks,
+        })
+    }
+
+    fn kill(&self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// A stream that a caller has received the first event of.
+#[derive(Debug, Clone)]
+struct Begun {
+    id: String,
+    version: String,
+}
+
+/// Hosts that exchange datagrams, of which the share `loss` is lost, with a store and engines.
+struct Fleet {
+    store: Rc<FakeStore>,
+    members: RefCell<Vec<Rc<Member>>>,
+    /// Version of each engine.
+    engines: RefCell<HashMap<String, String>>,
+    loss: f64,
+    draws: Cell<u64>,
+    tries: Cell<u64>,
+    incarnations: Cell<u64>,
+}
+
+impl Fleet {
+    async fn spawn(hosts: usize, loss: f64) -> Rc<Self> {
+        let store = FakeStore::new();
+        store.latency_ms.set(4);
+        let fleet = Rc::new(Self {
+            store,
+            members: RefCell::default(),
+            engines: RefCell::default(),
+            loss,
+            draws: Cell::new(11),
+            tries: Cell::new(0),
+            incarnations: Cell::new(0),
+        });
+        for number in 1..=4 {
+            fleet.put_engine(number, "v1", "ready");
+        }
+        for number in 0..hosts {
+            let member = Member::spawn(&fleet.store, number, 0);
+            fleet.members.borrow_mut().push(member);
+        }
+        spawn_local(Rc::clone(&fleet).run());
+        wait_ms(10_000).await;
+        fleet
+    }
+
+    fn put_engine(&self, number: u64, version: &str, state: &str) {
+        let id = format!("i-{number}");
+        self.engines
+            .borrow_mut()
+            .insert(id.clone(), version.to_owned());
+        let value = json!({
+            "service": "model",
+            "address": format!("10.0.0.{number}:80"),
+            "draining": state == "draining",
+            "started": 1,
+            "software": version,
+        });
+        self.store.put(Kind::BackEnds, &id, Some(value));
+    }
+
+    /// Engines 5 to 8, of version 2, serve beside 1 to 4.
+    async fn add_second_version(&self) {
+        for number in 5..=8 {
+            self.put_engine(number, "v2", "ready");
+        }
+        wait_ms(1_000).await;
+    }
+
+    async fn remove_first_version(&self) {
+        for number in 1..=4 {
+            self.put_engine(number, "v1", "draining");
+        }
+        wait_ms(2_000).await;
+        for number in 1..=4 {
+            self.store.put(Kind::BackEnds, &format!("i-{number}"), None);
+        }
+        wait_ms(300).await;
+    }
+
+    fn restart(&self, at: usize) {
+        self.incarnations.set(self.incarnations.get() + 1);
+        let member = Member::spawn(&self.store, at, self.incarnations.get());
+        let killed = std::mem::replace(&mut self.members.borrow_mut()[at], member);
+        killed.kill();
+    }
+
+    /// Kills all hosts at once; they come back after a second.
+    async fn restart_all(&self) {
+        let killed = std::mem::take(&mut *self.members.borrow_mut());
+        for member in &killed {
+            member.kill();
+        }
+        wait_ms(1_000).await;
+        self.incarnations.set(self.incarnations.get() + 1);
+        for number in 0..killed.len() {
+            let member = Member::spawn(&self.store, number, self.incarnations.get());
+            self.members.borrow_mut().push(member);
+        }
+        wait_ms(200).await;
+    }
+
+    /// Delivers datagrams for as long as the test runs.
+    async fn run(self: Rc<Self>) {
+        loop {
+            wait_ms(DELIVERY_INTERVAL_MS).await;
+            let members = self.members.borrow().clone();
+            for sender in &members {
+                for datagram in outgoing_datagrams(&sender.host) {
+                    for to in &datagram.to {
+                        let receiver = members.iter().find(|m| m.address == to.to_string());
+                        let is_lost = (self.draw(1_000) as f64) < self.loss * 1_000.0;
+                        if let Some(receiver) = receiver.filter(|_| !is_lost) {
+                            receive(&receiver.host, &datagram.bytes);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn draw(&self, below: u64) -> u64 {
+        let next = self
+            .draws
+            .get()
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        self.draws.set(next);
+        (next >> 33) % below
+    }
+
+    /// Returns a generation with an id and a prompt of its own, so that no cache decides where it goes.
+    fn generation(&self) -> Request {
+        self.tries.set(self.tries.get() + 1);
+        let mut request = Request {
+            id: format!("t{}", self.tries.get()),
+            ..generation()
+        };
+        let parts = request.prompt.iter_mut().flat_map(|p| &mut p.parts);
+        parts.for_each(|part| part.id = self.draw(u64::MAX >> 34));
+        request
+    }
+
+    /// Sends a request through a host, where all engines behave as `step`. Returns the reply and the
+    /// engine that got it.
+    async fn send(&self, at: usize, request: Request, step: Step) -> (Reply, Option<String>) {
+        let member = Rc::clone(&self.members.borrow()[at]);
+        let before = member.host.backends.attempts().len();
+        let ids: Vec<String> = self.engines.borrow().keys().cloned().collect();
+        member.host.backends.script_only(&ids, &step);
+        let reply = serve(&member.host, request).await;
+        let attempts = member.host.backends.attempts();
+        (reply, attempts.get(before).map(|call| call.id.clone()))
+    }
+
+    /// Begins a stream that breaks after its first event.
+    async fn begin(&self, at: usize) -> Begun {
+        let request = self.generation();
+        let id = request.id.clone();
+        let (reply, engine) = self.send(at, request, interrupted()).await;
+        assert_eq!(read(reply).await, (1, false));
+        let engine = engine.expect("an engine");
+        let version = self.engines.borrow()[&engine].clone();
+        Begun { id, version }
+    }
+
+    /// Resumes a stream, as its caller does. Returns the version of the engine at which it goes on; if it
+    /// is refused, that must be at once and true.
+    async fn resume(&self, at: usize, begun: &Begun) -> Option<String> {
+        let request = Request {
+            resume_after: Some(1),
+            resumed_id: Some(begun.id.clone()),
+            ..self.generation()
+        };
+        let rest = Step::Respond(200, vec![Chunk::Bytes(0, SECOND)]);
+        let begun = Instant::now();
+        let (reply, engine) = self.send(at, request, rest).await;
+        let Some(engine) = engine else {
+            assert_eq!(reply.head.status, 503);
+            let elapsed_ms = begun.elapsed().as_millis();
+            assert!(elapsed_ms <= 200, "refused after {elapsed_ms} ms");
+            return None;
+        };
+        assert_eq!(read(reply).await, (1, true));
+        Some(self.engines.borrow()[&engine].clone())
+    }
+
+    fn random_host(&self) -> usize {
+        let hosts = self.members.borrow().len() as u64;
+        self.draw(hosts) as usize
+    }
+
+    /// Begins `count` streams at random hosts.
+    async fn begin_some(&self, count: usize) -> Vec<Begun> {
+        let mut begun = Vec::new();
+        for _ in 0..count {
+            begun.push(self.begin(self.random_host()).await);
+        }
+        begun
+    }
+
+    /// Resumes streams at random hosts. Returns how many go on; none may do so at another version.
+    async fn resume_all(&self, streams: &[Begun], case: &str) -> usize {
+        let mut resumed = 0;
+        for begun in streams {
+            let version = self.resume(self.random_host(), begun).await;
+            if let Some(version) = version {
+                assert_eq!(version, begun.version, "{case}: {begun:?}");
+                resumed += 1;
+            }
+        }
+        resumed
+    }
+}
+
+/// Guards against streams that go on at another version when their callers resume them at any host.
+#[test]
+fn resume_by_caller_same_version() {
+    for (hosts, loss) in [(1, 0.0), (7, 0.0), (7, 0.05), (60, 0.05)] {
+        run_virtual(async {
+            let fleet = Fleet::spawn(hosts, loss).await;
+            fleet.add_second_version().await;
+            let case = format!("{hosts} hosts, loss {loss}");
+            let mut resumed = 0;
+            for _ in 0..40 {
+                let begun = fleet.begin_some(1).await;
+                // Callers come back at once, or after a while.
+                wait_ms(30 + fleet.draw(2_000)).await;
+                resumed += fleet.resume_all(&begun, &case).await;
+            }
+            assert!(resumed >= 36, "{case}: {resumed} of 40");
+        });
+    }
+}
+
+/// Guards against hosts that end and take the versions of their streams with them.
+#[test]
+fn resume_after_host_restart() {
+    for hosts in [7, 60] {
+        run_virtual(async {
+            let fleet = Fleet::spawn(hosts, 0.02).await;
+            fleet.add_second_version().await;
+            let mut resumed = 0;
+            for round in 0..20 {
+                let at = fleet.random_host();
+                let begun = [fleet.begin(at).await, fleet.begin(at).await];
+                wait_ms(50).await;
+                fleet.restart(at);
+                wait_ms(500 + 100 * round).await;
+                resumed += fleet.resume_all(&begun, &format!("{hosts} hosts")).await;
+            }
+            assert!(resumed >= 32, "{hosts} hosts: {resumed} of 40");
+        });
+    }
+}
+
+/// Guards against streams that are joined from two versions after all hosts have lost power at once:
+/// nothing that they knew is left.
+#[test]
+fn resume_after_all_hosts_restart() {
+    for is_first_gone in [false, true] {
+        run_virtual(async {
+            let fleet = Fleet::spawn(7, 0.0).await;
+            let mut begun = fleet.begin_some(5).await;
+            fleet.add_second_version().await;
+            begun.extend(fleet.begin_some(20).await);
+            if is_first_gone {
+                fleet.remove_first_version().await;
+            }
+            fleet.restart_all().await;
+            let case = format!("first version gone: {is_first_gone}");
+            fleet.resume_all(&begun, &case).await;
+            wait_ms(1_000).await;
+            fleet.resume_all(&begun, &case).await;
+            // Streams that begin from now on are known again.
+            let begun = fleet.begin_some(20).await;
+            wait_ms(50).await;
+            let resumed = fleet.resume_all(&begun, &case).await;
+            assert!(resumed >= 18, "{case}: {resumed} of 20");
+        });
+    }
+}
+
+/// Guards against refused streams after a loss of all hosts when only one version has served for long.
+#[test]
+fn resume_after_all_hosts_restart_one_version() {
+    for has_changed in [false, true] {
+        run_virtual(async {
+            let fleet = Fleet::spawn(7, 0.0).await;
+            if has_changed {
+                fleet.add_second_version().await;
+                fleet.remove_first_version().await;
+                wait_ms(FORGOTTEN_MS).await;
+            }
+            let begun = fleet.begin_some(20).await;
+            fleet.restart_all().await;
+            let case = format!("the version has changed: {has_changed}");
+            let resumed = fleet.resume_all(&begun, &case).await;
+            assert!(resumed >= 18, "{case}: {resumed} of 20");
+        });
+    }
+}
+
+/// Guards against a stream that waits for, or goes on at another version than, one that nobody serves
+/// any more, and against hosts that answer from memory while the store is away.
+#[test]
+fn resume_version_gone() {
+    run_virtual(async {
+        let fleet = Fleet::spawn(7, 0.0).await;
+        let begun = fleet.begin_some(20).await;
+        fleet.add_second_version().await;
+        fleet.remove_first_version().await;
+        assert_eq!(fleet.resume_all(&begun, "gone").await, 0);
+        let begun = fleet.begin_some(20).await;
+        fleet.store.set_mode(StoreMode::Unresponsive);
+        wait_ms(2_000).await;
+        let resumed = fleet.resume_all(&begun, "store away").await;
+        assert!(resumed >= 18, "{resumed} of 20");
+    });
+}
+
+/// Guards against a caller whose third try goes on at another version than its first, and against ids
+/// that began nothing.
+#[test]
+fn resume_chain_and_unknown_ids() {
+    run_virtual(async {
+        let fleet = Fleet::spawn(7, 0.0).await;
+        fleet.add_second_version().await;
+        let begun = fleet.begin(0).await;
+        wait_ms(50).await;
+        for number in 9..=12 {
+            fleet.put_engine(number, "v3", "ready");
+        }
+        wait_ms(500).await;
+        for at in [1, 2, 3] {
+            let version = fleet.resume(at, &begun).await;
+            assert_eq!(version.as_ref(), Some(&begun.version));
+        }
+        let unknown = Begun {
+            id: "never".to_owned(),
+            version: "none".to_owned(),
+        };
+        assert_eq!(fleet.resume(1, &unknown).await, None);
+    });
+}
