Keep a stream at the software version that began it

Cause: the choice of an engine did not know versions, and nobody remembered at which version a stream began. Class of fault: a property that must hold over several attempts is known at none of them. Evidence: resume_in_answer_same_version, resume_by_caller_same_version, resume_after_host_restart, resume_after_all_hosts_restart, resume_version_gone and resume_chain_and_unknown_ids failed. Ruled out: the prefill at another version (the case names the engine that made the first event). Change: once a stream has an event, its attempts use decode engines of that version only. A host remembers the versions of the streams that it began, for 1.5 times the longest time limit, and tells them to other hosts while a service has several versions or it cannot know; a host that does not know a stream asks. Without memory the version is known if there was only one for that long: as the host has watched, as another host vouches, or as the lease holder has recorded in the store. Otherwise, and if the version has gone, the resumption is refused at once, 503, not run (2014, 2015).

--- a/crates/yucca-serve/src/choose.rs
+++ b/crates/yucca-serve/src/choose.rs
@@ -7,6 +7,7 @@
 use yuccacove::prompt_placement::{
     self, Choice, Delays, EngineScores, EngineView, Phase, Placement,
 };
+use yuccacove::stream_version::VersionId;
 
 use crate::directory::{Backend, BackendKey, Directory};
 use crate::hash::hash_of;
@@ -171,6 +172,8 @@
     pub slots: u32,
     /// Capacity of an engine's KV cache in tokens.
     pub kv_tokens: u64,
+    /// Software version at which the stream must go on; `None` if it may begin at any.
+    pub version: Option<VersionId>,
     /// Random number that spreads the choices of the hosts.
     pub draw: u64,
 }
@@ -243,7 +246,7 @@
         excluded: &[BackendKey],
         now_ms: u64,
     ) -> Self {
-        let mut keys = eligible(directory, input.service, excluded, now_ms);
+        let mut keys = eligible_engines(directory, input, excluded, now_ms);
         let empty = Prompt::default();
         let prompt = input.request.prompt.as_ref().unwrap_or(&empty);
         let prefixes = prefixes(prompt);
@@ -345,7 +348,37 @@
     excluded: &[BackendKey],
     now_ms: u64,
 ) -> Vec<BackendKey> {
-    let mut usable = directory.usable(service, now_ms);
+    eligible_among(directory, service, excluded, now_ms, |_| true)
+}
+
+/// As [`eligible`], for a generation: if it must go on at a software version, only decode engines of
+/// that version. Any prefill engine will do, as the KV cache depends on the weights.
+fn eligible_engines(
+    directory: &Directory,
+    input: &PlacementInput<'_>,
+    excluded: &[BackendKey],
+    now_ms: u64,
+) -> Vec<BackendKey> {
+    let among = |is_meant: &dyn Fn(&Backend) -> bool| {
+        eligible_among(directory, input.service, excluded, now_ms, is_meant)
+    };
+    let Some(version) = input.version else {
+        return among(&|_| true);
+    };
+    let mut keys = among(&|b| b.entry.phase == Phase::Decode && b.version() == version);
+    keys.extend(among(&|b| b.entry.phase == Phase::Prefill));
+    keys
+}
+
+/// As [`eligible`], among the backends for which `is_meant` is true.
+fn eligible_among(
+    directory: &Directory,
+    service: &str,
+    excluded: &[BackendKey],
+    now_ms: u64,
+    is_meant: impl Fn(&Backend) -> bool,
+) -> Vec<BackendKey> {
+    let mut usable = directory.usable_among(service, now_ms, is_meant);
     usable.retain(|key| !excluded.contains(key));
     let is_avoided = |key: &BackendKey| {
         let backend = directory.get(*key);
--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -15,6 +15,7 @@
 use yuccacove::explanation::Rule;
 use yuccacove::passive_health::PassiveHealth;
 use yuccacove::prompt_placement::Phase;
+use yuccacove::stream_version::{VersionHistory, VersionId};
 
 use crate::backend_arena::BackendArena;
 pub use crate::backend_arena::BackendKey;
@@ -23,6 +24,7 @@
 use crate::loads::Load;
 use crate::ports::Target;
 use crate::revision::era_of;
+use crate::stream_versions::version_id;
 
 /// Time after the store recovers within which a live backend has registered again.
 pub const RELIST_MS: u64 = 1_800;
@@ -148,6 +150,11 @@
         self.id_hash
     }
 
+    /// Returns the version of its software.
+    pub fn version(&self) -> VersionId {
+        version_id(&self.entry.software)
+    }
+
     /// Marks the engine as unavailable until it registers with another phase, or until `until_ms`
     /// at the latest.
     pub fn set_unavailable(&mut self, until_ms: u64) {
@@ -292,6 +299,10 @@
     /// Time until which backends stay in use if their entries are missing.
     relist_until_ms: u64,
     has_full_listing: bool,
+    /// Time of the first full listing.
+    watched_since_ms: Option<u64>,
+    /// Software versions of backends that have left or changed it, by service.
+    versions: IndexMap<String, VersionHistory>,
     /// Era of the store's latest changes.
     era: u64,
     /// Time in which the entries of silent backends are removed.
@@ -394,12 +405,54 @@
         self.has_full_listing
     }
 
+    /// Returns the time since the first full listing; `None` before it.
+    pub fn watched_ms(&self, now_ms: u64) -> Option<u64> {
+        let since_ms = self.watched_since_ms?;
+        Some(now_ms.saturating_sub(since_ms))
+    }
+
+    /// Returns the software versions that backends of `service` have, or had after `since_ms`.
+    pub fn versions(&self, service: &str, since_ms: u64) -> Vec<VersionId> {
+        let listed = self.by_id.values().map(|key| self.get(*key));
+        let listed = listed
+            .filter(|backend| backend.unlisted_since_ms.is_none())
+            .filter(|backend| backend.entry.service == service);
+        let past = self.versions.get(service).into_iter();
+        let past = past.flat_map(|history| history.since(since_ms));
+        let versions: IndexSet<VersionId> = listed.map(Backend::version).chain(past).collect();
+        versions.into_iter().collect()
+    }
+
+    /// Records that a backend had its software version until `at_ms`.
+    fn record_version(&mut self, key: BackendKey, at_ms: u64) {
+        let backend = self.backends.get(key);
+        let (service, version) = (backend.entry.service.clone(), backend.version());
+        let history = self.versions.entry(service).or_default();
+        history.record(version, at_ms);
+    }
+
+    /// Whether a backend of `service` with a software version may get new work.
+    pub fn has_version(&self, service: &str, version: VersionId, now_ms: u64) -> bool {
+        let usable = self.usable_among(service, now_ms, |b| b.version() == version);
+        !usable.is_empty()
+    }
+
     /// Returns the backends of `service` that may get new work: those that serve or, if there are
     /// none, those that began to leave a moment ago.
     pub fn usable(&self, service: &str, now_ms: u64) -> Vec<BackendKey> {
-        let serving = self.select(service, |backend| backend.is_serving(now_ms));
+        self.usable_among(service, now_ms, |_| true)
+    }
+
+    /// As [`Directory::usable`], among the backends for which `is_meant` is true.
+    pub fn usable_among(
+        &self,
+        service: &str,
+        now_ms: u64,
+        is_meant: impl Fn(&Backend) -> bool,
+    ) -> Vec<BackendKey> {
+        let serving = self.select(service, |b| b.is_serving(now_ms) && is_meant(b));
         if serving.is_empty() {
-            return self.select(service, |backend| backend.is_last_resort(now_ms));
+            return self.select(service, |b| b.is_last_resort(now_ms) && is_meant(b));
         }
         serving
     }
@@ -484,7 +537,12 @@
             // The copy holds an earlier incarnation.
             return self.apply_removal(id, revision, now_ms);
         }
+        let is_other_version =
+            backend.entry.software != entry.software || backend.entry.service != entry.service;
         let copied_until_ms = now_ms + self.entry_lapse_ms;
+        if is_other_version {
+            self.record_version(key, now_ms);
+        }
         let backend = self.get_mut(key);
         let was_serving = backend.is_serving(now_ms);
         let is_restart = entry.started_ms != backend.entry.started_ms;
@@ -534,6 +592,10 @@
             return Change::None;
         };
         let relist_until_ms = self.relist_until_ms;
+        if self.get(key).unlisted_since_ms.is_none() {
+            // It may be used a little longer if it has no successor, or registers again.
+            self.record_version(key, now_ms + RELIST_MS);
+        }
         let backend = self.get_mut(key);
         let is_listed = matches!(
             backend.registration,
@@ -565,6 +627,7 @@
     /// Applies a full listing as of `revision`: backends that are not in `ids` are removed.
     pub fn apply_full_listing(&mut self, ids: &[&str], revision: u64, now_ms: u64) -> Vec<Change> {
         self.has_full_listing = true;
+        self.watched_since_ms.get_or_insert(now_ms);
         let ids: IndexSet<&str> = ids.iter().copied().collect();
         let missing: Vec<String> = self
             .by_id
--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -30,6 +30,7 @@
 use crate::recency::{ConfigId, ConfigRecency};
 use crate::relay::Relay;
 use crate::scaling::PendingEngines;
+use crate::stream_versions::HostStreams;
 use crate::usage::HostUsage;
 
 /// Fraction of the allowed retries that hosts use. The rest is a margin, because hosts count their
@@ -131,6 +132,8 @@
     pub trials: RefCell<IndexSet<PartKey>>,
     /// Rate limits that backends name for all hosts together.
     pub rates: RefCell<FleetRates>,
+    /// Software versions of streams.
+    pub streams: HostStreams,
     /// Metrics of this host.
     pub metrics: Metrics,
     /// Clock for proofs, which also advances while the host is suspended.
@@ -180,6 +183,7 @@
             crash_causes: RefCell::default(),
             trials: RefCell::default(),
             rates: RefCell::new(FleetRates::new(own, draw_seed as u32)),
+            streams: HostStreams::default(),
             metrics: Metrics::default(),
             clock: BootClock::default(),
             recency,
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -60,8 +60,10 @@
 pub mod serve;
 pub mod store_calls;
 pub mod stream;
+pub mod stream_versions;
 mod unusable_entries;
 pub mod usage;
+pub mod version_record;
 
 pub use yucca_io::caller_connections as connections;
 pub use yucca_io::{body_buffer, caller_body, memory, segment};
--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -34,6 +34,7 @@
 use crate::recency::{Answer, Question};
 use crate::relay::{ChangeRequest, StoreUpdate};
 use crate::relay_parts::{Part, PartRequest};
+use crate::stream_versions::{self, StreamMessage};
 use crate::usage::{HostUsage, OtherHost, UsageMessage};
 
 /// Interval in which updates are collected before they are sent.
@@ -212,6 +213,8 @@
     StorePartRequest(PartRequest),
     /// A part of such a change.
     StorePart(Part),
+    /// Software versions of streams.
+    Streams(StreamMessage),
 }
 
 /// Load update: the sender's part of the engines' work.
@@ -328,6 +331,7 @@
             || host.relay.has_updates()
             || host.crash_causes.borrow().has_changes()
             || host.rates.borrow().has_messages()
+            || host.streams.has_messages()
             || host.usage.as_ref().is_some_and(HostUsage::has_messages);
         let interval = if has_updates {
             SEND_INTERVAL
@@ -387,6 +391,7 @@
     let recency = recency_messages(host);
     let demand = demand_messages(host);
     let usage = usage_messages(host);
+    let streams = stream_messages(host);
     let all = other_zones
         .into_iter()
         .chain(store)
@@ -395,7 +400,8 @@
         .chain(rates)
         .chain(recency)
         .chain(demand)
-        .chain(usage);
+        .chain(usage)
+        .chain(streams);
     let all = all.filter_map(|(to, datagram)| {
         let bytes = encode(&datagram)?;
         Some(Outgoing { to, bytes })
@@ -520,6 +526,19 @@
     addressed.collect()
 }
 
+/// Returns the messages on software versions of streams.
+fn stream_messages<B>(host: &Host<B>) -> Vec<(Vec<SocketAddr>, Datagram)> {
+    stream_versions::check_telling(host);
+    if !host.streams.has_messages() {
+        return Vec::new();
+    }
+    let hosts = host.peers.hosts.borrow();
+    let hosts: Vec<_> = hosts.values().map(|peer| (peer.id, peer.address)).collect();
+    let messages = host.streams.take_messages(&hosts).into_iter();
+    let messages = messages.map(|(to, message)| (to, Datagram::Streams(message)));
+    messages.collect()
+}
+
 /// Returns the messages on usage. Without organisations there is no usage to report.
 fn usage_messages<B>(host: &Host<B>) -> Vec<(Vec<SocketAddr>, Datagram)> {
     let Some(usage) = host.usage.as_ref().filter(|_| host.has_organisations()) else {
@@ -717,6 +736,7 @@
         Ok((Datagram::StoreRequest(request), _)) => host.relay.receive_request(request),
         Ok((Datagram::StorePartRequest(request), _)) => host.relay.receive_part_request(&request),
         Ok((Datagram::StorePart(part), _)) => host.relay.receive_part(part),
+        Ok((Datagram::Streams(message), _)) => stream_versions::receive(host, message),
         Ok((Datagram::Crashes(reports), _)) => apply_crashes(host, &reports),
         Ok((Datagram::Limits(reports), _)) => {
             let mut rates = host.rates.borrow_mut();
--- a/crates/yucca-serve/src/ports.rs
+++ b/crates/yucca-serve/src/ports.rs
@@ -33,6 +33,8 @@
     Leases,
     /// Reports of usage that may not have arrived yet.
     Usage,
+    /// Record of the software versions of engines.
+    Versions,
 }
 
 /// How recent the result of a read must be.
--- a/crates/yucca-serve/src/relay.rs
+++ b/crates/yucca-serve/src/relay.rs
@@ -625,6 +625,6 @@
         Kind::Config => Some(0),
         Kind::BackEnds => Some(1),
         Kind::Hosts => Some(2),
-        Kind::Leases | Kind::Usage => None,
+        Kind::Leases | Kind::Usage | Kind::Versions => None,
     }
 }
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -12,6 +12,7 @@
 use yuccacove::crash_cause::PartKey;
 use yuccacove::event::Event;
 use yuccacove::fleet_rate::Permission;
+use yuccacove::stream_version::VersionId;
 
 use crate::authentication::authenticate;
 use crate::config::{EngineSpec, Route, RouteKind, ServingConfig};
@@ -155,6 +156,8 @@
     grant_wait_ms: Cell<u64>,
     /// Time on the boot clock at which the request was first sent to a backend that may have run it.
     begun_ms: Cell<u64>,
+    /// Software version at which the stream must go on; `None` if it may begin at any.
+    pub required_version: Cell<Option<VersionId>>,
     /// Whether the request was counted for the usage reports.
     is_counted: Cell<bool>,
 }
@@ -242,6 +245,7 @@
             grant_wait_ms: Cell::new(0),
             begun_ms: Cell::new(0),
             is_counted: Cell::new(false),
+            required_version: Cell::new(None),
             route: route.clone(),
             config_version: config.version,
         }
@@ -546,8 +550,12 @@
                 other if other.outcome() == Outcome::NotRun => other,
                 _ => Code::NoBackend,
             };
-            // A request that crashes backends is not to come again.
-            let retry_after_ms = (code != Code::SuspectRefused).then_some(retry_after_ms);
+            // A later try of these fares no better.
+            let is_final = matches!(
+                code,
+                Code::SuspectRefused | Code::VersionUnknown | Code::VersionGone
+            );
+            let retry_after_ms = (!is_final).then_some(retry_after_ms);
             let id = &self.request.id;
             return refuse_because(host, id, code, retry_after_ms, &self.usage_fields());
         }
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -34,6 +34,7 @@
 use crate::prefill::{KvCacheGuard, PrefillGuard, prefill_if_remote, prefix_source_address};
 use crate::reply::{Interrupted, Reply, ReplyData};
 use crate::serve::{Progress, RequestContext, RunState, Stage};
+use crate::stream_versions;
 
 /// Capacity of the channel that carries the chunks of a response to the caller.
 const CHANNEL_CHUNKS: usize = 16;
@@ -47,6 +48,9 @@
 
 /// Starts a generation and returns its reply, whose body receives the events as they arrive.
 pub async fn serve<B: Backends>(context: &Rc<RequestContext<B>>) -> Reply {
+    if let Err(reply) = require_version(context).await {
+        return *reply;
+    }
     let mut opened = match open_stream(context, context.request.resume_after).await {
         Ok(opened) => opened,
         Err(reply) => return *reply,
@@ -64,6 +68,26 @@
     Reply::streamed(head, chunks)
 }
 
+/// Finds out at which software version a stream goes on that its caller resumes. The error is the final
+/// reply if that is not known, or no engine of that version serves.
+async fn require_version<B: Backends>(context: &RequestContext<B>) -> Result<(), Box<Reply>> {
+    if context.request.resume_after.is_none() {
+        return Ok(());
+    }
+    let host = &context.host;
+    let resumed_id = context.request.resumed_id.as_deref();
+    let version = stream_versions::version_of(host, &context.service, resumed_id).await;
+    let Some(version) = version else {
+        return Err(Box::new(context.refuse(Code::VersionUnknown)));
+    };
+    let directory = host.directory.borrow();
+    if !directory.has_version(&context.service, version, host.now_ms()) {
+        return Err(Box::new(context.refuse(Code::VersionGone)));
+    }
+    context.required_version.set(Some(version));
+    Ok(())
+}
+
 /// An attempt whose response has begun.
 struct OpenStream<B: Backends> {
     key: BackendKey,
@@ -368,6 +392,7 @@
         tokens_per_event: context.engine.tokens_per_event,
         slots: context.engine.slots,
         kv_tokens: context.engine.kv_tokens,
+        version: context.required_version.get(),
         draw,
     };
     let excluded = context.excluded_backends();
@@ -656,6 +681,7 @@
                 crashes::record_sound(&context.host, &context.crash_keys);
                 opened.progress = Progress::Events;
                 context.count_generation();
+                record_version(context, opened.key);
             } else if caller.capacity() == caller.max_capacity() {
                 // A caller that does not read delays the events.
                 record_gap(context, opened.key, elapsed_ms - times.last_ms);
@@ -671,6 +697,17 @@
     }
 }
 
+/// Records the software version of the engine that has made the first event of the caller's try. The
+/// stream goes on at this version only.
+fn record_version<B: Backends>(context: &RequestContext<B>, key: BackendKey) {
+    if context.required_version.get().is_some() {
+        return;
+    }
+    let version = context.host.directory.borrow().get(key).version();
+    context.required_version.set(Some(version));
+    stream_versions::record_begin(&context.host, &context.request.id, version);
+}
+
 /// Returns the part of the buffer of an incomplete event for which memory is reserved.
 fn counted_bytes(buffer_bytes: usize) -> usize {
     buffer_bytes.saturating_sub(UNCOUNTED_BYTES)
--- /dev/null
+++ b/crates/yucca-serve/src/stream_versions.rs
@@ -0,0 +1,363 @@
+//! Memory of the software versions of streams, which hosts share.
+//!
+//! [`yuccacove::stream_version`] decides at which version a stream goes on; this module collects what
+//! it needs. While engines of several versions serve, a host tells other hosts with which version each
+//! stream began, so that the loss of a host loses no stream. A host that does not know a stream asks
+//! them. After the loss of all hosts only the store tells whether there was one version for long enough.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+use tokio::time::{Duration, Instant, sleep, timeout};
+use yuccacove::fleet_rate::HostId;
+use yuccacove::stream_version::{Evidence, StreamId, StreamVersions, VersionId};
+
+use crate::config::RouteKind;
+use crate::hash::hash_of;
+use crate::host::Host;
+
+/// Longest time between the first event of a stream and its last resumption, as a multiple of the
+/// longest time limit of the routes. Callers' deadlines may exceed that, and it changes.
+const LIFETIME_FACTOR: f64 = 1.5;
+/// Up to this many other hosts, all of them learn the versions of streams; in a larger fleet some do,
+/// which follow from the stream's id.
+const SMALL_FLEET: usize = 16;
+/// Number of those hosts in a larger fleet. Some may have stopped a moment ago.
+const KEEPERS: usize = 5;
+/// Maximum number of notes in one datagram.
+const MAX_NOTES: usize = 60;
+/// Maximum number of answers that no request has taken.
+const MAX_VOUCHED: usize = 1_000;
+/// Longest wait for the answers of other hosts.
+const ANSWER_WAIT_MS: u64 = 40;
+/// Time after which a question is repeated, because a datagram may be lost.
+const REPEAT_MS: u64 = 20;
+/// Interval at which a request that waits checks for answers.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Longest wait for the record in the store.
+const RECORD_WAIT: Duration = Duration::from_millis(120);
+/// Interval at which a host checks whether it must tell others the versions of its streams.
+const CHECK_INTERVAL_MS: u64 = 100;
+
+/// Tells with which version a stream began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamNote {
+    stream: u64,
+    version: u64,
+}
+
+/// Question for the version of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamQuestion {
+    sender: HostId,
+    stream: u64,
+    /// Hash of the name of the service.
+    service: u64,
+}
+
+/// Answer to a [`StreamQuestion`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamAnswer {
+    stream: u64,
+    version: u64,
+    /// Whether the version was recorded for this stream. Otherwise the service had no other version for
+    /// as long as the answering host has watched it, which is long enough.
+    is_recorded: bool,
+}
+
+/// A message on versions of streams.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StreamMessage {
+    /// Versions of streams that have begun.
+    Notes(Vec<StreamNote>),
+    /// Question for the version of a stream.
+    Question(StreamQuestion),
+    /// Answer to such a question.
+    Answer(StreamAnswer),
+}
+
+/// The only version of each service within the lifetime of a stream, by the name of the service.
+pub type OnlyVersions = IndexMap<String, VersionId>;
+
+/// What this host knows of the versions of streams, and messages to send.
+#[derive(Debug, Default)]
+pub struct HostStreams {
+    memory: RefCell<StreamVersions>,
+    /// Whether other hosts could not infer the versions of this host's streams.
+    is_telling: Cell<bool>,
+    checked_ms: Cell<u64>,
+    notes: RefCell<Vec<StreamNote>>,
+    questions: RefCell<Vec<StreamQuestion>>,
+    answers: RefCell<Vec<(HostId, StreamAnswer)>>,
+    /// Versions for which another host vouches, by stream.
+    vouched: RefCell<IndexMap<StreamId, VersionId>>,
+    /// Record of the store; `None` until it was read.
+    stored: RefCell<Option<OnlyVersions>>,
+    /// Notified when the record of the store is needed.
+    pub(crate) record_wanted: Notify,
+    record_read: Notify,
+}
+
+impl HostStreams {
+    /// Whether there are messages to send.
+    pub(crate) fn has_messages(&self) -> bool {
+        !self.notes.borrow().is_empty()
+            || !self.questions.borrow().is_empty()
+            || !self.answers.borrow().is_empty()
+    }
+
+    /// Sets the record of the store.
+    pub(crate) fn set_stored(&self, stored: OnlyVersions) {
+        *self.stored.borrow_mut() = Some(stored);
+        self.record_read.notify_waiters();
+    }
+
+    /// Returns the only version of a service as the store's record has it.
+    fn stored(&self, service: &str) -> Option<VersionId> {
+        self.stored.borrow().as_ref()?.get(service).copied()
+    }
+
+    fn recorded(&self, stream: StreamId) -> Option<VersionId> {
+        self.memory.borrow().find(stream)
+    }
+
+    fn vouch(&self, stream: StreamId, version: VersionId) {
+        let mut vouched = self.vouched.borrow_mut();
+        vouched.insert(stream, version);
+        let excess = vouched.len().saturating_sub(MAX_VOUCHED);
+        vouched.drain(..excess);
+    }
+
+    /// Returns and forgets the messages to send, each with its recipients among the other `hosts`.
+    pub(crate) fn take_messages(
+        &self,
+        hosts: &[(HostId, SocketAddr)],
+    ) -> Vec<(Vec<SocketAddr>, StreamMessage)> {
+        let mut messages = Vec::new();
+        let mut by_recipients: IndexMap<Vec<SocketAddr>, Vec<StreamNote>> = IndexMap::new();
+        for note in self.notes.take() {
+            let to = keepers(StreamId(note.stream), hosts);
+            by_recipients.entry(to).or_default().push(note);
+        }
+        for (to, notes) in by_recipients {
+            let datagrams = notes.chunks(MAX_NOTES).map(<[StreamNote]>::to_vec);
+            messages.extend(datagrams.map(|notes| (to.clone(), StreamMessage::Notes(notes))));
+        }
+        for question in self.questions.take() {
+            let to = keepers(StreamId(question.stream), hosts);
+            messages.push((to, StreamMessage::Question(question)));
+        }
+        for (sender, answer) in self.answers.take() {
+            let to = hosts.iter().find(|(id, _)| *id == sender);
+            messages.extend(to.map(|(_, to)| (vec![*to], StreamMessage::Answer(answer))));
+        }
+        messages
+    }
+}
+
+/// Returns the addresses of the hosts that learn the version of a stream, by rendezvous hashing.
+fn keepers(stream: StreamId, hosts: &[(HostId, SocketAddr)]) -> Vec<SocketAddr> {
+    let mut ranked: Vec<_> = hosts.iter().collect();
+    if hosts.len() > SMALL_FLEET {
+        ranked.sort_by_cached_key(|(id, _)| hash_of((stream.0, id.0)));
+        ranked.truncate(KEEPERS);
+    }
+    ranked.into_iter().map(|(_, address)| *address).collect()
+}
+
+/// Returns the id of a software version.
+pub fn version_id(software: &str) -> VersionId {
+    VersionId(hash_of(software))
+}
+
+fn stream_id(request_id: &str) -> StreamId {
+    StreamId(hash_of(request_id))
+}
+
+/// Returns the longest time from the first event of a stream to its last resumption.
+fn lifetime_ms<B>(host: &Host<B>) -> u64 {
+    let limit_ms = host.config().map_or(0, |config| {
+        let routes = config.routes.iter();
+        let streams = routes.filter(|route| matches!(route.kind, RouteKind::Stream { .. }));
+        streams.map(|route| route.timeout_ms).max().unwrap_or(0)
+    });
+    (limit_ms as f64 * LIFETIME_FACTOR) as u64
+}
+
+/// Returns what this host has itself seen of the versions of a service's engines.
+pub(crate) fn own_evidence<B>(host: &Host<B>, service: &str) -> Evidence {
+    let now_ms = host.now_ms();
+    let lifetime_ms = lifetime_ms(host);
+    let directory = host.directory.borrow();
+    let present = directory.versions(service, now_ms.saturating_sub(lifetime_ms));
+    let watched_ms = directory.watched_ms(now_ms);
+    let has_watched = watched_ms.is_some_and(|watched_ms| watched_ms >= lifetime_ms);
+    // Where engines name no version, there is nothing to tell apart.
+    let is_unnamed = present == [version_id("")];
+    Evidence {
+        present,
+        has_watched: has_watched || is_unnamed,
+        ..Evidence::default()
+    }
+}
+
+/// Returns the names of the services with streams.
+pub(crate) fn stream_services<B>(host: &Host<B>) -> Vec<String> {
+    let Some(config) = host.config() else {
+        return Vec::new();
+    };
+    let services = config.services.iter();
+    let with_engines = services.filter(|(_, service)| service.engine.is_some());
+    with_engines.map(|(name, _)| name.clone()).collect()
+}
+
+fn remember<B>(host: &Host<B>, stream: StreamId, version: VersionId) {
+    let now_ms = host.now_ms();
+    let forgotten_ms = now_ms.saturating_sub(lifetime_ms(host));
+    let mut memory = host.streams.memory.borrow_mut();
+    memory.record(stream, version, now_ms, forgotten_ms);
+}
+
+/// Records the version with which a stream began, and tells it to other hosts if they could not infer it.
+pub(crate) fn record_begin<B>(host: &Host<B>, request_id: &str, version: VersionId) {
+    let stream = stream_id(request_id);
+    remember(host, stream, version);
+    if host.streams.is_telling.get() {
+        host.streams.notes.borrow_mut().push(StreamNote {
+            stream: stream.0,
+            version: version.0,
+        });
+        host.peer_updates.notify_one();
+    }
+}
+
+/// Tells other hosts the versions of all streams that this host remembers as soon as engines of a
+/// service have several versions, or this host cannot know that they have not.
+pub(crate) fn check_telling<B>(host: &Host<B>) {
+    let streams = &host.streams;
+    let now_ms = host.now_ms();
+    if now_ms < streams.checked_ms.get() + CHECK_INTERVAL_MS {
+        return;
+    }
+    streams.checked_ms.set(now_ms);
+    let services = stream_services(host);
+    let is_unknown = |service: &String| own_evidence(host, service).version().is_none();
+    let is_telling = services.iter().any(is_unknown);
+    if is_telling && !streams.is_telling.replace(is_telling) {
+        let memory = streams.memory.borrow();
+        let notes = memory.iter().map(|(stream, version)| StreamNote {
+            stream: stream.0,
+            version: version.0,
+        });
+        streams.notes.borrow_mut().extend(notes);
+    }
+    streams.is_telling.set(is_telling);
+}
+
+/// Returns the version at which a stream has to go on that its caller resumes; `None` if it is not known.
+/// `request_id` is the try that brought the first event, as the caller names it.
+pub(crate) async fn version_of<B>(
+    host: &Host<B>,
+    service: &str,
+    request_id: Option<&str>,
+) -> Option<VersionId> {
+    let stream = request_id.map(stream_id);
+    let streams = &host.streams;
+    let recorded = || stream.and_then(|stream| streams.recorded(stream));
+    if let Some(stream) = stream {
+        ask(host, service, stream).await;
+    }
+    let vouched = stream.and_then(|stream| streams.vouched.borrow_mut().swap_remove(&stream));
+    let mut evidence = Evidence {
+        recorded: recorded(),
+        vouched,
+        ..own_evidence(host, service)
+    };
+    if evidence.version().is_none() && evidence.present.len() == 1 {
+        evidence.stored = stored(host, service).await;
+    }
+    let version = evidence.version()?;
+    if let Some(stream) = stream {
+        remember(host, stream, version);
+    }
+    Some(version)
+}
+
+/// Asks other hosts for the version of a stream that this host does not remember, and waits until one has
+/// recorded it or all had time to answer.
+async fn ask<B>(host: &Host<B>, service: &str, stream: StreamId) {
+    let streams = &host.streams;
+    let question = StreamQuestion {
+        sender: host.id(),
+        stream: stream.0,
+        service: hash_of(service),
+    };
+    let begun = Instant::now();
+    let mut sent = 0;
+    while host.peers.count() > 0 && streams.recorded(stream).is_none() {
+        let elapsed_ms = u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX);
+        if elapsed_ms >= ANSWER_WAIT_MS {
+            return;
+        }
+        if elapsed_ms >= sent * REPEAT_MS {
+            sent += 1;
+            streams.questions.borrow_mut().push(question);
+            host.peer_updates.notify_one();
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Returns the only version of a service as the store's record has it, which is read if necessary.
+async fn stored<B>(host: &Host<B>, service: &str) -> Option<VersionId> {
+    let streams = &host.streams;
+    if streams.stored.borrow().is_none() {
+        let read = streams.record_read.notified();
+        streams.record_wanted.notify_one();
+        // Without the record the version is not known.
+        let _ = timeout(RECORD_WAIT, read).await;
+    }
+    streams.stored(service)
+}
+
+/// Handles a message of another host.
+pub(crate) fn receive<B>(host: &Host<B>, message: StreamMessage) {
+    match message {
+        StreamMessage::Notes(notes) => {
+            for note in notes {
+                remember(host, StreamId(note.stream), VersionId(note.version));
+            }
+        }
+        StreamMessage::Question(question) => answer(host, question),
+        StreamMessage::Answer(answer) => {
+            let (stream, version) = (StreamId(answer.stream), VersionId(answer.version));
+            if answer.is_recorded {
+                remember(host, stream, version);
+            } else {
+                host.streams.vouch(stream, version);
+            }
+        }
+    }
+}
+
+fn answer<B>(host: &Host<B>, question: StreamQuestion) {
+    let recorded = host.streams.recorded(StreamId(question.stream));
+    let only = || {
+        let services = stream_services(host).into_iter();
+        let mut services = services.filter(|name| hash_of(name) == question.service);
+        own_evidence(host, &services.next()?).version()
+    };
+    if let Some(version) = recorded.or_else(only) {
+        let answer = StreamAnswer {
+            stream: question.stream,
+            version: version.0,
+            is_recorded: recorded.is_some(),
+        };
+        let mut answers = host.streams.answers.borrow_mut();
+        answers.push((question.sender, answer));
+        host.peer_updates.notify_one();
+    }
+}
--- a/crates/yucca-serve/tests/software_versions.rs
+++ b/crates/yucca-serve/tests/software_versions.rs
@@ -25,6 +25,7 @@
 use yucca_serve::request::Request;
 use yucca_serve::roles::{LEASE_NAME, RoleLease, maintain_lease};
 use yucca_serve::serve::serve;
+use yucca_serve::version_record;
 use yuccacove::prompt_placement::Phase;
 
 const FIRST: &str = "id: 1\ndata: a\n\n";
@@ -133,6 +134,11 @@
                 LEASE_NAME,
                 move |object| observed.observe(object),
             )),
+            spawn_local(version_record::keep(
+                Rc::clone(&host),
+                Rc::clone(store),
+                Rc::clone(&lease),
+            )),
             spawn_local(maintain_lease(Rc::clone(&lease), Rc::clone(store), health)),
         ];
         Rc::new(Self {
@@ -278,15 +284,20 @@
         (next >> 33) % below
     }
 
-    /// Returns a generation with an id and a prompt of its own, so that no cache decides where it goes.
+    /// Returns a generation with an id and a short prompt of its own, so that neither a cache nor the load
+    /// decides where it goes.
     fn generation(&self) -> Request {
         self.tries.set(self.tries.get() + 1);
         let mut request = Request {
             id: format!("t{}", self.tries.get()),
             ..generation()
         };
-        let parts = request.prompt.iter_mut().flat_map(|p| &mut p.parts);
-        parts.for_each(|part| part.id = self.draw(u64::MAX >> 34));
+        let prompt = request.prompt.as_mut().expect("a prompt");
+        prompt.tokens = 300;
+        for part in &mut prompt.parts {
+            part.id = self.draw(u64::MAX >> 34);
+            part.tokens = 150;
+        }
         request
     }
 
--- a/src/code.rs
+++ b/src/code.rs
@@ -90,6 +90,8 @@
     NotReady = 2011, "not_ready", 503, NotRun, "The entry host has no catalogue yet.";
     BackendUnreachable = 2012, "backend_unreachable", 503, NotRun, "No connection to a back end could be opened.";
     KeysUnproven = 2013, "keys_unproven", 503, NotRun, "The entry host does not know whether its configuration is recent enough to accept API keys.";
+    VersionUnknown = 2014, "version_unknown", 503, NotRun, "Nobody knows which software version began the stream, and it must go on at no other.";
+    VersionGone = 2015, "version_gone", 503, NotRun, "No engine of the software version that began the stream serves any more.";
     AnswerIncomplete = 3001, "answer_incomplete", 502, Ran, "The back end stopped before the answer was whole.";
     BackendFailed = 3002, "backend_failed", 502, Ran, "The back end answered with an error.";
     OutcomeUnknown = 3003, "outcome_unknown", 504, Unknown, "The request was sent, and its outcome is unknown.";
