--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -601,7 +601,9 @@
     fn wait_ms(&self) -> u64 {
         let wait_ms = match self.kind {
             Kind::Config | Kind::BackEnds => (self.bound_ms as f64 * WATCH_SHARE) as u64,
-            Kind::Hosts | Kind::Leases | Kind::Usage | Kind::Versions => SLOW_WATCH_MS,
+            Kind::Hosts | Kind::Leases | Kind::Usage | Kind::Versions | Kind::Streams => {
+                SLOW_WATCH_MS
+            }
         };
         self.proofs.map_or(wait_ms, |proofs| {
             proofs.recency.watch_wait_ms(wait_ms, proofs.clock)
@@ -611,7 +613,9 @@
     fn batch_pause(&self) -> Duration {
         let ms = match self.kind {
             Kind::Config | Kind::BackEnds => (self.bound_ms as f64 * BATCH_SHARE) as u64,
-            Kind::Hosts | Kind::Leases | Kind::Usage | Kind::Versions => SLOW_BATCH_MS,
+            Kind::Hosts | Kind::Leases | Kind::Usage | Kind::Versions | Kind::Streams => {
+                SLOW_BATCH_MS
+            }
         };
         let ms = self
             .proofs
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod serve;
 pub mod store_calls;
 pub mod stream;
+pub mod stream_journal;
 pub mod stream_versions;
 mod unusable_entries;
 pub mod usage;
--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -311,6 +311,14 @@
         has_prefills || !self.unavailable.borrow().is_empty()
     }
 
+    /// Returns the name of the group that shares the watches of the host `own`.
+    pub(crate) fn group_name<'a, B>(&self, own: &'a Host<B>) -> &'a str {
+        if self.count() < SMALL_FLEET {
+            return "all";
+        }
+        &own.deployment.zone
+    }
+
     /// Returns the ids of the other hosts.
     pub fn ids(&self) -> Vec<HostId> {
         self.hosts.borrow().values().map(|peer| peer.id).collect()
@@ -534,7 +542,9 @@
     }
     let hosts = host.peers.hosts.borrow();
     let hosts: Vec<_> = hosts.values().map(|peer| (peer.id, peer.address)).collect();
-    let messages = host.streams.take_messages(&hosts).into_iter();
+    let writers = host.relay.fresh_relays();
+    let writers = writers.into_iter().map(HostId).collect::<Vec<_>>();
+    let messages = host.streams.take_messages(&hosts, &writers).into_iter();
     let messages = messages.map(|(to, message)| (to, Datagram::Streams(message)));
     messages.collect()
 }
--- a/crates/yucca-serve/src/ports.rs
+++ b/crates/yucca-serve/src/ports.rs
@@ -35,6 +35,8 @@
     Usage,
     /// Record of the software versions of engines.
     Versions,
+    /// Journal of the versions of streams.
+    Streams,
 }
 
 /// How recent the result of a read must be.
--- a/crates/yucca-serve/src/relay.rs
+++ b/crates/yucca-serve/src/relay.rs
@@ -206,6 +206,12 @@
         self.is_watching() && self.fresh_age_ms().is_some()
     }
 
+    /// Whether this host is the relay of the lowest rank in its group.
+    pub(crate) fn is_lowest_relay(&self) -> bool {
+        let others = self.fresh_relays();
+        self.is_relay() && others.iter().all(|rank| *rank > self.rank)
+    }
+
     fn fresh_age_ms(&self) -> Option<u64> {
         self.store_health
             .age_ms()
@@ -625,6 +631,6 @@
         Kind::Config => Some(0),
         Kind::BackEnds => Some(1),
         Kind::Hosts => Some(2),
-        Kind::Leases | Kind::Usage | Kind::Versions => None,
+        Kind::Leases | Kind::Usage | Kind::Versions | Kind::Streams => None,
     }
 }
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -7,6 +7,7 @@
 
 use tokio::time::{Duration, Instant, sleep, timeout_at};
 use yucca_io::log;
+use yucca_io::log::field;
 use yuccacove::attempt_limit::{AttemptLimit, Cost};
 use yuccacove::code::{Code, Outcome};
 use yuccacove::crash_cause::PartKey;
@@ -517,13 +518,19 @@
         }
     }
 
-    /// Returns the fields of a log line that tell by organisation and by size which requests are served.
+    /// Returns the fields of a log line that tell by organisation and by size which requests are served, and
+    /// which try a resumption goes back to.
     pub(crate) fn usage_fields(&self) -> String {
         let organisation = self.request.organisation.as_deref();
         let organisation = organisation.map(|name| format!(" organisation={name}"));
         let prompt = self.request.prompt.as_ref();
         let tokens = prompt.map(|prompt| format!(" tokens={}", prompt.tokens));
-        organisation.unwrap_or_default() + &tokens.unwrap_or_default()
+        let resumed = self.request.resumed_id.as_deref();
+        let resumed = resumed.map(|id| format!(" resumed={}", field(id)));
+        [organisation, tokens, resumed]
+            .into_iter()
+            .flatten()
+            .collect()
     }
 
     /// Creates the final reply to a request without a response of a backend. The reply states that
--- a/crates/yucca-serve/src/stream_versions.rs
+++ b/crates/yucca-serve/src/stream_versions.rs
@@ -31,6 +31,8 @@
 const MAX_NOTES: usize = 60;
 /// Maximum number of answers that no request has taken.
 const MAX_VOUCHED: usize = 1_000;
+/// Maximum number of streams that wait to be written into the journal.
+const MAX_UNWRITTEN: usize = 20_000;
 /// Longest wait for the answers of other hosts.
 const ANSWER_WAIT_MS: u64 = 40;
 /// Time after which a question is repeated, because a datagram may be lost.
@@ -99,6 +101,12 @@
     /// Notified when the record of the store is needed.
     pub(crate) record_wanted: Notify,
     record_read: Notify,
+    /// Streams that are not in the journal yet, with the time at which this host learnt of them.
+    unwritten: RefCell<IndexMap<StreamId, (VersionId, u64)>>,
+    /// Notified when the journal is needed.
+    pub(crate) journal_wanted: Notify,
+    /// Notified when it was read.
+    pub(crate) journal_read: Notify,
 }
 
 impl HostStreams {
@@ -131,15 +139,50 @@
         vouched.drain(..excess);
     }
 
-    /// Returns and forgets the messages to send, each with its recipients among the other `hosts`.
+    /// Whether streams are not in the journal yet.
+    pub(crate) fn has_unwritten(&self) -> bool {
+        !self.unwritten.borrow().is_empty()
+    }
+
+    /// Returns and forgets the streams that are not in the journal yet, but for those that this host learnt
+    /// of before `forgotten_ms`.
+    pub(crate) fn take_unwritten(&self, forgotten_ms: u64) -> Vec<(StreamId, VersionId)> {
+        let unwritten = self.unwritten.take().into_iter();
+        let recent = unwritten.filter(|(_, (_, at_ms))| *at_ms >= forgotten_ms);
+        recent
+            .map(|(stream, (version, _))| (stream, version))
+            .collect()
+    }
+
+    /// Adds streams that are to be written.
+    pub(crate) fn add_unwritten(
+        &self,
+        streams: impl IntoIterator<Item = (StreamId, VersionId)>,
+        now_ms: u64,
+    ) {
+        let streams = streams.into_iter();
+        let mut unwritten = self.unwritten.borrow_mut();
+        unwritten.extend(streams.map(|(stream, version)| (stream, (version, now_ms))));
+        let excess = unwritten.len().saturating_sub(MAX_UNWRITTEN);
+        unwritten.drain(..excess);
+    }
+
+    /// Returns and forgets the messages to send, each with its recipients among the other `hosts`. Notes
+    /// also go to the `writers`, which keep the journal.
     pub(crate) fn take_messages(
         &self,
         hosts: &[(HostId, SocketAddr)],
+        writers: &[HostId],
     ) -> Vec<(Vec<SocketAddr>, StreamMessage)> {
         let mut messages = Vec::new();
         let mut by_recipients: IndexMap<Vec<SocketAddr>, Vec<StreamNote>> = IndexMap::new();
         for note in self.notes.take() {
-            let to = keepers(StreamId(note.stream), hosts);
+            let mut to = keepers(StreamId(note.stream), hosts);
+            let writers = hosts.iter().filter(|(id, _)| writers.contains(id));
+            let writers: Vec<_> = writers.map(|(_, address)| *address).collect();
+            to.extend(writers);
+            to.sort();
+            to.dedup();
             by_recipients.entry(to).or_default().push(note);
         }
         for (to, notes) in by_recipients {
@@ -178,7 +221,7 @@
 }
 
 /// Returns the longest time from the first event of a stream to its last resumption.
-fn lifetime_ms<B>(host: &Host<B>) -> u64 {
+pub(crate) fn lifetime_ms<B>(host: &Host<B>) -> u64 {
     let limit_ms = host.config().map_or(0, |config| {
         let routes = config.routes.iter();
         let streams = routes.filter(|route| matches!(route.kind, RouteKind::Stream { .. }));
@@ -214,7 +257,16 @@
     with_engines.map(|(name, _)| name.clone()).collect()
 }
 
-fn remember<B>(host: &Host<B>, stream: StreamId, version: VersionId) {
+/// Whether the engines of a service had several versions in the last `within_ms`.
+pub(crate) fn has_several_versions<B>(host: &Host<B>, within_ms: u64) -> bool {
+    let since_ms = host.now_ms().saturating_sub(within_ms);
+    let directory = host.directory.borrow();
+    let mut services = stream_services(host).into_iter();
+    services.any(|service| directory.versions(&service, since_ms).len() > 1)
+}
+
+/// Remembers the version of a stream.
+pub(crate) fn remember<B>(host: &Host<B>, stream: StreamId, version: VersionId) {
     let now_ms = host.now_ms();
     let forgotten_ms = now_ms.saturating_sub(lifetime_ms(host));
     let mut memory = host.streams.memory.borrow_mut();
@@ -226,14 +278,22 @@
     let stream = stream_id(request_id);
     remember(host, stream, version);
     if host.streams.is_telling.get() {
-        host.streams.notes.borrow_mut().push(StreamNote {
-            stream: stream.0,
-            version: version.0,
-        });
-        host.peer_updates.notify_one();
+        tell(host, [(stream, version)]);
     }
 }
 
+/// Tells other hosts the versions of streams.
+fn tell<B>(host: &Host<B>, streams: impl IntoIterator<Item = (StreamId, VersionId)>) {
+    let streams: Vec<_> = streams.into_iter().collect();
+    let notes = streams.iter().map(|(stream, version)| StreamNote {
+        stream: stream.0,
+        version: version.0,
+    });
+    host.streams.notes.borrow_mut().extend(notes);
+    host.streams.add_unwritten(streams, host.now_ms());
+    host.peer_updates.notify_one();
+}
+
 /// Tells other hosts the versions of all streams that this host remembers as soon as engines of a
 /// service have several versions, or this host cannot know that they have not.
 pub(crate) fn check_telling<B>(host: &Host<B>) {
@@ -247,12 +307,7 @@
     let is_unknown = |service: &String| own_evidence(host, service).version().is_none();
     let is_telling = services.iter().any(is_unknown);
     if is_telling && !streams.is_telling.replace(is_telling) {
-        let memory = streams.memory.borrow();
-        let notes = memory.iter().map(|(stream, version)| StreamNote {
-            stream: stream.0,
-            version: version.0,
-        });
-        streams.notes.borrow_mut().extend(notes);
+        tell(host, streams.memory.borrow().iter());
     }
     streams.is_telling.set(is_telling);
 }
@@ -276,6 +331,10 @@
         vouched,
         ..own_evidence(host, service)
     };
+    if evidence.version().is_none() {
+        read_journal(host).await;
+        evidence.recorded = recorded();
+    }
     if evidence.version().is_none() && evidence.present.len() == 1 {
         evidence.stored = stored(host, service).await;
     }
@@ -311,6 +370,14 @@
     }
 }
 
+/// Reads what a loss of all hosts has left.
+async fn read_journal<B>(host: &Host<B>) {
+    let read = host.streams.journal_read.notified();
+    host.streams.journal_wanted.notify_one();
+    // Without the journal the version is not known.
+    let _ = timeout(RECORD_WAIT, read).await;
+}
+
 /// Returns the only version of a service as the store's record has it, which is read if necessary.
 async fn stored<B>(host: &Host<B>, service: &str) -> Option<VersionId> {
     let streams = &host.streams;
@@ -328,7 +395,10 @@
     match message {
         StreamMessage::Notes(notes) => {
             for note in notes {
-                remember(host, StreamId(note.stream), VersionId(note.version));
+                let (stream, version) = (StreamId(note.stream), VersionId(note.version));
+                remember(host, stream, version);
+                let streams = &host.streams;
+                streams.add_unwritten([(stream, version)], host.now_ms());
             }
         }
         StreamMessage::Question(question) => answer(host, question),
--- a/crates/yucca-serve/tests/software_versions.rs
+++ b/crates/yucca-serve/tests/software_versions.rs
@@ -25,6 +25,7 @@
 use yucca_serve::request::Request;
 use yucca_serve::roles::{LEASE_NAME, RoleLease, maintain_lease};
 use yucca_serve::serve::serve;
+use yucca_serve::stream_journal;
 use yucca_serve::version_record;
 use yuccacove::prompt_placement::Phase;
 
@@ -134,6 +135,7 @@
                 LEASE_NAME,
                 move |object| observed.observe(object),
             )),
+            spawn_local(stream_journal::keep(Rc::clone(&host), Rc::clone(store))),
             spawn_local(version_record::keep(
                 Rc::clone(&host),
                 Rc::clone(store),
@@ -441,6 +443,31 @@
     }
 }
 
+/// Guards against hosts that, after they have all lost power, refuse the streams whose version serves.
+#[test]
+fn resume_after_all_hosts_restart_beside_other_version() {
+    for (hosts, loss, is_first_gone) in [(7, 0.0, false), (7, 0.05, true), (60, 0.02, false)] {
+        run_virtual(async {
+            let fleet = Fleet::spawn(hosts, loss).await;
+            let mut begun = fleet.begin_some(10).await;
+            fleet.add_second_version().await;
+            begun.extend(fleet.begin_some(20).await);
+            wait_ms(700).await;
+            if is_first_gone {
+                fleet.remove_first_version().await;
+                begun.retain(|stream| stream.version == "v2");
+            }
+            for restart in 0..2 {
+                fleet.restart_all().await;
+                let case = format!("{hosts} hosts, first version gone: {is_first_gone}, {restart}");
+                let resumed = fleet.resume_all(&begun, &case).await;
+                let count = begun.len();
+                assert!(resumed * 10 >= count * 9, "{case}: {resumed} of {count}");
+            }
+        });
+    }
+}
+
 /// Guards against refused streams after a loss of all hosts when only one version has served for long.
 #[test]
 fn resume_after_all_hosts_restart_one_version() {
