Refuse answers of back ends with an impossible status

The HTTP library turns away 000 and 099 already, and takes 100 to 999. Cause: the check of a response looked at its id, its signature and its statement, and not at whether an answer can have its status. Class of fault: a value of another party is passed on unchecked. Evidence: send_request_impossible_status failed: 600: Ok((600, "ok")). Change: a status outside 200 to 599 makes a response no answer (ImpossibleStatus), for requests, prefills and the host's own calls alike; whether the request ran is unknown.

--- a/src/response_check.rs
+++ b/src/response_check.rs
@@ -24,6 +24,11 @@
 //! assert_eq!(refusal.verdict(CallKind::Run), Verdict::Invalid(fault));
 //! ```
 
+use std::ops::RangeInclusive;
+
+/// Statuses of answers. Those below tell that one follows.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// What a call asks of a backend, which determines what its response must bear.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallKind {
@@ -69,6 +74,8 @@
     OtherId,
     /// It is a success without the signature of a backend.
     MissingSignature,
+    /// Its status is none that an answer can have (RFC 9110, section 15).
+    ImpossibleStatus,
 }
 
 /// What a response means to the host.
@@ -91,6 +98,9 @@
         if let Some(fault) = self.id_fault(kind) {
             return Verdict::Invalid(fault);
         }
+        if !FINAL_STATUSES.contains(&self.status) {
+            return Verdict::Invalid(ResponseFault::ImpossibleStatus);
+        }
         if kind == CallKind::Control {
             return Verdict::Answer;
         }
