Refuse impossible statuses on the product's own interface as well

Callers of yucca-entry got the status 600 of a plain server as its answer (MIXED, the path that the check of responses did not cover). Evidence: order_outcome_after_server_fault with the case "impossible status" failed: no result code. Change: the library's check of a status is used there too; the outcome is unknown, as with a crossed answer.

--- a/crates/yucca-entry/src/plain.rs
+++ b/crates/yucca-entry/src/plain.rs
@@ -17,6 +17,7 @@
 use yucca_io::connections::Connection;
 use yucca_io::segmented_body::SegmentedBody;
 use yuccacove::memory_budget::Purpose;
+use yuccacove::response_check::is_final_status;
 
 /// Largest response of a plain service; responses are read completely and checked before they are
 /// forwarded.
@@ -122,6 +123,9 @@
             call.request_id
         )));
     }
+    if !is_final_status(parts.status.as_u16()) {
+        return Err(Fault::Crossed(format!("status {}", parts.status)));
+    }
     let body = read_response_body(host, body).await?;
     host.pool.release(connection);
     let headers = FORWARDED_RESPONSE_HEADERS
--- a/crates/yucca-entry/tests/orders.rs
+++ b/crates/yucca-entry/tests/orders.rs
@@ -60,12 +60,16 @@
 #[tokio::test]
 async fn order_outcome_after_server_fault() {
     type Fault = fn(&Call) -> Vec<Step>;
-    let faults: [(&str, Fault); 4] = [
+    let faults: [(&str, Fault); 5] = [
         ("closed", |_| vec![Step::Close]),
         ("silent", |_| vec![Step::Silence]),
         ("crossed", |_| {
             vec![response(201, "X-Request-Id: other\r\n", "other")]
         }),
+        ("impossible status", |c| {
+            let id = format!("X-Request-Id: {}\r\n", c.header("x-request-id"));
+            vec![response(600, &id, "odd")]
+        }),
         ("truncated", |c| {
             let id = c.header("x-request-id");
             let head =
--- a/src/response_check.rs
+++ b/src/response_check.rs
@@ -29,6 +29,11 @@
 /// Statuses of answers. Those below tell that one follows.
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
+/// Whether an answer can have this status.
+pub fn is_final_status(status: u16) -> bool {
+    FINAL_STATUSES.contains(&status)
+}
+
 /// What a call asks of a backend, which determines what its response must bear.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallKind {
@@ -98,7 +103,7 @@
         if let Some(fault) = self.id_fault(kind) {
             return Verdict::Invalid(fault);
         }
-        if !FINAL_STATUSES.contains(&self.status) {
+        if !is_final_status(self.status) {
             return Verdict::Invalid(ResponseFault::ImpossibleStatus);
         }
         if kind == CallKind::Control {
