--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -424,8 +424,8 @@
     log::write(
         Event::Routed,
         &format!(
-            "request={} route={} config={} stage=run back_end={} software={} resumed={} has_prompt={} pending_ms={pending_ms:.0} \
-             read_ms={:.0} first_token_ms={:.0} left_ms={}",
+            "request={} route={} config={} stage=run back_end={} software={} resumed={} \
+             has_prompt={} pending_ms={pending_ms:.0} read_ms={:.0} first_token_ms={:.0} left_ms={}",
             context.request.id,
             context.route.name,
             context.config_version,
--- a/crates/yucca-serve/src/stream_journal.rs
+++ b/crates/yucca-serve/src/stream_journal.rs
@@ -71,18 +71,19 @@
         };
         let result = if is_wanted {
             let is_due = last_read.is_none_or(|at| at.elapsed() >= MIN_READ_INTERVAL);
-            last_read = last_read.filter(|_| !is_due).or(Some(Instant::now()));
-            if is_due {
+            let result = if is_due {
+                last_read = Some(Instant::now());
                 read(&host, &*store).await.map(|_| ())
             } else {
                 Ok(())
-            }
+            };
+            host.streams.journal_read.notify_waiters();
+            result
         } else if host.relay.is_lowest_relay() && host.streams.has_unwritten() {
             write(&host, &*store, &mut writer).await
         } else {
             Ok(())
         };
-        host.streams.journal_read.notify_waiters();
         if result.is_err() {
             // The write may have taken effect, or another host has written.
             writer = None;
--- /dev/null
+++ b/tests/stream_version.rs
@@ -0,0 +1,129 @@
+//! Tests at which software version a stream goes on, by what a host knows.
+
+use yuccacove::stream_version::{Evidence, StreamId, StreamVersions, VersionHistory, VersionId};
+
+const OLD: VersionId = VersionId(1);
+const NEW: VersionId = VersionId(2);
+
+/// Guards against a version that is guessed: only a record, or one version for long enough, tells it.
+#[test]
+fn evidence_version() {
+    let unknown = || Evidence {
+        present: vec![NEW],
+        ..Evidence::default()
+    };
+    let cases = [
+        ("one version, seen for a moment", unknown(), None),
+        (
+            "watched",
+            Evidence {
+                has_watched: true,
+                ..unknown()
+            },
+            Some(NEW),
+        ),
+        (
+            "vouched",
+            Evidence {
+                vouched: Some(NEW),
+                ..unknown()
+            },
+            Some(NEW),
+        ),
+        (
+            "vouched for another",
+            Evidence {
+                vouched: Some(OLD),
+                ..unknown()
+            },
+            None,
+        ),
+        (
+            "stored",
+            Evidence {
+                stored: Some(NEW),
+                ..unknown()
+            },
+            Some(NEW),
+        ),
+        (
+            "stored another",
+            Evidence {
+                stored: Some(OLD),
+                ..unknown()
+            },
+            None,
+        ),
+        (
+            "several versions",
+            Evidence {
+                present: vec![OLD, NEW],
+                has_watched: true,
+                stored: Some(NEW),
+                ..unknown()
+            },
+            None,
+        ),
+        (
+            "several versions, recorded",
+            Evidence {
+                present: vec![OLD, NEW],
+                recorded: Some(OLD),
+                ..unknown()
+            },
+            Some(OLD),
+        ),
+        (
+            "no engine",
+            Evidence {
+                present: Vec::new(),
+                has_watched: true,
+                ..unknown()
+            },
+            None,
+        ),
+        (
+            "gone, recorded",
+            Evidence {
+                recorded: Some(OLD),
+                ..unknown()
+            },
+            Some(OLD),
+        ),
+    ];
+    for (name, evidence, expected) in cases {
+        assert_eq!(evidence.version(), expected, "{name}");
+    }
+}
+
+/// Guards against streams that are forgotten too early, or never.
+#[test]
+fn stream_versions_forget() {
+    let mut streams = StreamVersions::default();
+    for number in 0..100 {
+        let now_ms = number * 10;
+        streams.record(StreamId(number), OLD, now_ms, now_ms.saturating_sub(500));
+    }
+    assert_eq!(streams.find(StreamId(48)), None);
+    assert_eq!(streams.find(StreamId(49)), Some(OLD));
+    assert_eq!(streams.iter().count(), 51);
+    // A stream that is recorded again is the youngest.
+    streams.record(StreamId(49), NEW, 1_000, 500);
+    streams.record(StreamId(100), OLD, 1_400, 900);
+    assert_eq!(streams.find(StreamId(49)), Some(NEW));
+    assert_eq!(streams.find(StreamId(60)), None);
+}
+
+/// Guards against a version that has left a moment ago and does not count any more.
+#[test]
+fn version_history_since() {
+    let mut history = VersionHistory::default();
+    history.record(OLD, 700);
+    history.record(NEW, 900);
+    history.record(OLD, 300);
+    let since = |since_ms| history.since(since_ms).collect::<Vec<_>>();
+    assert_eq!(since(0), [OLD, NEW]);
+    assert_eq!(since(699), [OLD, NEW]);
+    assert_eq!(since(700), [NEW]);
+    assert_eq!(since(900), []);
+}
