Admit the resumption of a stream that has begun

Cause: such a request was held and refused for overload like a new one. Inside one answer a stream that the host resumes is admitted. Class of fault: a mechanism that one path has and another lacks. Change: a stream that some host has recorded is admitted when its caller resumes it. An id that nobody has recorded is admitted like a new request, so that the header alone takes nobody past the queue.

--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -159,6 +159,8 @@
     begun_ms: Cell<u64>,
     /// Software version at which the stream must go on; `None` if it may begin at any.
     pub required_version: Cell<Option<VersionId>>,
+    /// Whether this is a resumption of a stream that is known to have begun.
+    pub has_begun: Cell<bool>,
     /// Whether the request was counted for the usage reports.
     is_counted: Cell<bool>,
 }
@@ -247,6 +249,7 @@
             begun_ms: Cell::new(0),
             is_counted: Cell::new(false),
             required_version: Cell::new(None),
+            has_begun: Cell::new(false),
             route: route.clone(),
             config_version: config.version,
         }
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -34,7 +34,7 @@
 use crate::prefill::{KvCacheGuard, PrefillGuard, prefill_if_remote, prefix_source_address};
 use crate::reply::{Interrupted, Reply, ReplyData};
 use crate::serve::{Progress, RequestContext, RunState, Stage};
-use crate::stream_versions;
+use crate::stream_versions::{self, KnownVersion};
 
 /// Capacity of the channel that carries the chunks of a response to the caller.
 const CHANNEL_CHUNKS: usize = 16;
@@ -77,7 +77,7 @@
     let host = &context.host;
     let resumed_id = context.request.resumed_id.as_deref();
     let version = stream_versions::version_of(host, &context.service, resumed_id).await;
-    let Some(version) = version else {
+    let Some(KnownVersion { version, has_begun }) = version else {
         return Err(Box::new(context.refuse(Code::VersionUnknown)));
     };
     let directory = host.directory.borrow();
@@ -85,6 +85,7 @@
         return Err(Box::new(context.refuse(Code::VersionGone)));
     }
     context.required_version.set(Some(version));
+    context.has_begun.set(has_begun);
     Ok(())
 }
 
@@ -142,7 +143,8 @@
 ) -> Result<EngineChoice, Box<Reply>> {
     let overload = context.overload();
     let mut held: Option<Held> = None;
-    let mut is_admitted = context.has_started();
+    // A stream that was admitted once goes on, whether this host or its caller resumes it.
+    let mut is_admitted = context.has_started() || context.has_begun.get();
     loop {
         if context.crashes_backends() {
             return Err(Box::new(context.refuse(Code::SuspectRefused)));
--- a/crates/yucca-serve/src/stream_versions.rs
+++ b/crates/yucca-serve/src/stream_versions.rs
@@ -312,13 +312,21 @@
     streams.is_telling.set(is_telling);
 }
 
+/// The version at which a stream goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct KnownVersion {
+    pub version: VersionId,
+    /// Whether a host recorded that the stream began.
+    pub has_begun: bool,
+}
+
 /// Returns the version at which a stream has to go on that its caller resumes; `None` if it is not known.
 /// `request_id` is the try that brought the first event, as the caller names it.
 pub(crate) async fn version_of<B>(
     host: &Host<B>,
     service: &str,
     request_id: Option<&str>,
-) -> Option<VersionId> {
+) -> Option<KnownVersion> {
     let stream = request_id.map(stream_id);
     let streams = &host.streams;
     let recorded = || stream.and_then(|stream| streams.recorded(stream));
@@ -339,10 +347,11 @@
         evidence.stored = stored(host, service).await;
     }
     let version = evidence.version()?;
-    if let Some(stream) = stream {
+    let has_begun = evidence.recorded.is_some();
+    if let Some(stream) = stream.filter(|_| has_begun) {
         remember(host, stream, version);
     }
-    Some(version)
+    Some(KnownVersion { version, has_begun })
 }
 
 /// Asks other hosts for the version of a stream that this host does not remember, and waits until one has
--- a/crates/yucca-serve/tests/software_versions.rs
+++ b/crates/yucca-serve/tests/software_versions.rs
@@ -171,6 +171,8 @@
     /// Version of each engine.
     engines: RefCell<HashMap<String, String>>,
     loss: f64,
+    /// Length of the prompts in tokens.
+    prompt_tokens: Cell<u32>,
     draws: Cell<u64>,
     tries: Cell<u64>,
     incarnations: Cell<u64>,
@@ -185,6 +187,7 @@
             members: RefCell::default(),
             engines: RefCell::default(),
             loss,
+            prompt_tokens: Cell::new(300),
             draws: Cell::new(11),
             tries: Cell::new(0),
             incarnations: Cell::new(0),
@@ -295,10 +298,10 @@
             ..generation()
         };
         let prompt = request.prompt.as_mut().expect("a prompt");
-        prompt.tokens = 300;
+        prompt.tokens = self.prompt_tokens.get();
         for part in &mut prompt.parts {
             part.id = self.draw(u64::MAX >> 34);
-            part.tokens = 150;
+            part.tokens = self.prompt_tokens.get() / 2;
         }
         request
     }
@@ -395,6 +398,25 @@
     }
 }
 
+/// Guards against resumed streams that are turned away like new ones because the time that it took to ask
+/// for their version makes them late.
+#[test]
+fn resume_by_caller_admitted() {
+    run_virtual(async {
+        let fleet = Fleet::spawn(60, 0.0).await;
+        fleet.add_second_version().await;
+        // Such a prompt barely meets the target of 300 ms.
+        fleet.prompt_tokens.set(8_000);
+        let mut resumed = 0;
+        for _ in 0..20 {
+            let begun = fleet.begin_some(1).await;
+            wait_ms(30).await;
+            resumed += fleet.resume_all(&begun, "long prompt").await;
+        }
+        assert!(resumed >= 18, "{resumed} of 20");
+    });
+}
+
 /// Guards against hosts that end and take the versions of their streams with them.
 #[test]
 fn resume_after_host_restart() {
