--- a/src/event.rs
+++ b/src/event.rs
@@ -39,7 +39,7 @@
     Stopped = 103, "stopped", "The process ended its work and exits.";
     LogDropped = 104, "log_dropped", "Log lines were dropped because they came faster than they could be written.";
     SettingsReloaded = 105, "settings_reloaded", "The settings were reloaded.";
-    Routed = 201, "routed", "A request was sent to a backend; lists the scores of the candidates.";
+    Routed = 201, "routed", "A request was sent to a backend; lists the scores of the candidates, or the version of the configuration that its route is from (`config`).";
     Refused = 202, "refused", "A request was refused before dispatch.";
     Finished = 203, "finished", "A request ended with a complete response.";
     Failed = 204, "failed", "A request ended without a complete response.";
@@ -96,7 +96,7 @@
     Rejoined = 504, "rejoined", "The host reaches the object API or a peer again.";
     RelayBegun = 505, "relay_begun", "This host watches the object API and forwards changes to the other hosts.";
     RelayEnded = 506, "relay_ended", "This host relies on other hosts to forward changes of the object API.";
-    CatalogueChanged = 601, "catalogue_changed", "A newer version of a catalogue object was applied.";
+    CatalogueChanged = 601, "catalogue_changed", "A newer version of a catalogue object was applied; `road` tells how it came: `listing`, `watch` or `relay`.";
     CatalogueStale = 602, "catalogue_stale", "An older version of a catalogue object was ignored.";
     CatalogueInvalid = 603, "catalogue_invalid", "A catalogue object could not be parsed and was ignored.";
     AnnounceAccepted = 604, "announce_accepted", "An operator's change was announced to this host.";
