Keep the break of a request whose second connection is refused

A caller of a plain server could be told "not run" of a request that ran. Cause: a request that breaks on a kept connection is sent again on a new one. If that is refused, the attempt was recorded as not connected, so that nothing counts as sent. An engine that the request had ended counted as never reached, and the request went on to the next. Class of fault: a later error hides an earlier one that says more. Plain calls that may be repeated had the same lines. Change: such an attempt is broken, with both causes in its text.

--- a/crates/yucca-entry/src/backend_fault.rs
+++ b/crates/yucca-entry/src/backend_fault.rs
@@ -24,6 +24,13 @@
 }
 
 impl Fault {
+    /// Returns the fault of a request that broke on a kept connection with `cause`, and for which no other
+    /// connection could be opened because of `error`. The backend may have run it, and may even have ended
+    /// because of it.
+    pub fn broken_and_not_connected(cause: &str, error: &str) -> Self {
+        Self::Broken(format!("{cause}; then not connected: {error}"))
+    }
+
     /// Whether a part of the request may have been executed.
     pub fn reached_backend(&self) -> bool {
         !matches!(self, Self::NotConnected(_) | Self::WrongVersion)
--- a/crates/yucca-entry/src/engine_stream.rs
+++ b/crates/yucca-entry/src/engine_stream.rs
@@ -155,12 +155,12 @@
             .await
             .map_err(Fault::NotConnected)?;
         let mut response = Self::send(&mut connection, request, timeouts).await;
-        if connection.is_reused() && matches!(response, Err(Fault::Broken(_))) {
+        if connection.is_reused()
+            && let Err(Fault::Broken(cause)) = &response
+        {
             // The engine had closed the idle connection. A chat request may be retried.
-            connection = pool
-                .open(request.address)
-                .await
-                .map_err(Fault::NotConnected)?;
+            let opened = pool.open(request.address).await;
+            connection = opened.map_err(|e| Fault::broken_and_not_connected(cause, &e))?;
             response = Self::send(&mut connection, request, timeouts).await;
         }
         let response = response?;
--- a/crates/yucca-entry/src/plain.rs
+++ b/crates/yucca-entry/src/plain.rs
@@ -106,13 +106,12 @@
     let mut connection = connection.map_err(Fault::NotConnected)?;
     let limit = host.timing.first_byte(call.first_token_ms);
     let mut response = send_request(&mut connection, request.clone(), limit).await;
-    if connection.is_reused() && matches!(response, Err(Fault::Broken(_))) {
+    if connection.is_reused()
+        && let Err(Fault::Broken(cause)) = &response
+    {
         // The server had closed the idle connection. An idempotent call may be retried.
-        connection = host
-            .pool
-            .open(server.address)
-            .await
-            .map_err(Fault::NotConnected)?;
+        let opened = host.pool.open(server.address).await;
+        connection = opened.map_err(|e| Fault::broken_and_not_connected(cause, &e))?;
         response = send_request(&mut connection, request, limit).await;
     }
     let (parts, body) = response?.into_parts();
--- a/crates/yucca-entry/tests/streams.rs
+++ b/crates/yucca-entry/tests/streams.rs
@@ -9,7 +9,13 @@
     streamed_text, text, token, until,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Duration, Instant};
+use yucca_entry::backend_fault::Fault as BackendFault;
+use yucca_entry::engine_stream::{EngineRequest, EngineStream, StreamTimeouts};
+use yucca_io::connections::Pool;
+use yucca_io::memory::Memory;
+use yuccacove::memory_budget::Purpose;
 
 const TOTAL: u64 = 5;
 
@@ -215,3 +221,42 @@
     assert_eq!(reply.headers["x-served-by"], "e0");
     assert_eq!(reply.headers["x-entry-host"], "entry-1");
 }
+
+/// Guards against an engine that a request crashes and that counts as never reached, because the request
+/// went out on a kept connection and the engine refuses a new one.
+#[tokio::test]
+async fn open_crash_on_kept_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let engine = tokio::spawn(async move {
+        let (mut connection, _) = listener.accept().await.unwrap();
+        let _ = connection.read(&mut [0; 4_096]).await.unwrap();
+        // The port refuses connections before the kept one closes.
+        drop(listener);
+    });
+    let pool = Pool::new(500, 5_000);
+    pool.release(pool.open(address).await.unwrap());
+    let request = EngineRequest {
+        address,
+        request_id: "r1".to_owned(),
+        model: "m".to_owned(),
+        version: "v1".to_owned(),
+        rank: 0,
+        traceparent: None,
+        body: serde_json::json!({}).into(),
+        next_index: 0,
+        text_so_far: String::new(),
+        deadline: Instant::now() + Duration::from_secs(5),
+    };
+    let timeouts = StreamTimeouts {
+        first: Duration::from_secs(2),
+        chunk: Duration::from_secs(2),
+        probe_ms: 500,
+    };
+    let memory = Memory::new(64 * 1_024 * 1_024).guard(Purpose::Response);
+    let opened = EngineStream::open(&pool, &request, timeouts, memory).await;
+    engine.await.unwrap();
+    let fault = opened.err().expect("the engine has ended");
+    assert!(fault.reached_backend(), "{fault:?}");
+    assert!(matches!(fault, BackendFault::Broken(_)), "{fault:?}");
+}
