--- a/crates/yucca-serve/src/stream_versions.rs
+++ b/crates/yucca-serve/src/stream_versions.rs
@@ -304,14 +304,31 @@
     }
     streams.checked_ms.set(now_ms);
     let services = stream_services(host);
-    let is_unknown = |service: &String| own_evidence(host, service).version().is_none();
-    let is_telling = services.iter().any(is_unknown);
+    let is_telling = services
+        .iter()
+        .any(|service| is_version_unknown(host, service));
     if is_telling && !streams.is_telling.replace(is_telling) {
         tell(host, streams.memory.borrow().iter());
     }
     streams.is_telling.set(is_telling);
 }
 
+/// Whether neither this host nor the store's record can tell the only version of a service's engines. Asks
+/// for the record if that may tell it.
+fn is_version_unknown<B>(host: &Host<B>, service: &str) -> bool {
+    let streams = &host.streams;
+    let evidence = Evidence {
+        stored: streams.stored(service),
+        ..own_evidence(host, service)
+    };
+    // Without an engine there is no stream.
+    let is_unknown = !evidence.present.is_empty() && evidence.version().is_none();
+    if is_unknown && evidence.present.len() == 1 && streams.stored.borrow().is_none() {
+        streams.record_wanted.notify_one();
+    }
+    is_unknown
+}
+
 /// The version at which a stream goes on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct KnownVersion {
--- a/crates/yucca-serve/tests/software_versions.rs
+++ b/crates/yucca-serve/tests/software_versions.rs
@@ -20,7 +20,7 @@
 use yucca_serve::follow::{follow_backends, probe_store};
 use yucca_serve::host::{Deployment, Host};
 use yucca_serve::peers::{follow_hosts, outgoing_datagrams, receive, register};
-use yucca_serve::ports::Kind;
+use yucca_serve::ports::{Freshness, Kind, ObjectStore};
 use yucca_serve::reply::Reply;
 use yucca_serve::request::Request;
 use yucca_serve::roles::{LEASE_NAME, RoleLease, maintain_lease};
@@ -510,6 +510,60 @@
     }
 }
 
+impl Fleet {
+    /// Begins a stream each 250 ms for `ms`, and returns how often the journal was written meanwhile.
+    async fn journal_writes_in(&self, ms: u64) -> u64 {
+        let revisions = async || -> u64 {
+            let objects = self.store.list(Kind::Streams, Freshness::Latest).await;
+            let objects = objects.expect("a listing").objects;
+            objects.iter().map(|object| object.revision).sum()
+        };
+        let mut writes = 0;
+        let mut before = revisions().await;
+        for _ in 0..ms / 250 {
+            self.begin(self.random_host()).await;
+            wait_ms(240).await;
+            let after = revisions().await;
+            writes += u64::from(after != before);
+            before = after;
+        }
+        writes
+    }
+}
+
+/// Guards against calls to the store, which have a price, when there is one version only: when a host has
+/// just started, when all have, and beside a service that has no engine.
+#[test]
+fn journal_not_written_with_one_version() {
+    run_virtual(async {
+        let fleet = Fleet::spawn(7, 0.0).await;
+        assert_eq!(fleet.journal_writes_in(3_000).await, 0, "in calm");
+        for at in 0..3 {
+            fleet.restart(at);
+            wait_ms(300).await;
+            let writes = fleet.journal_writes_in(2_000).await;
+            assert_eq!(writes, 0, "after the restart of host {at}");
+        }
+        fleet.restart_all().await;
+        wait_ms(2_000).await;
+        assert_eq!(
+            fleet.journal_writes_in(3_000).await,
+            0,
+            "after all hosts restarted"
+        );
+        for member in fleet.members.borrow().iter() {
+            let mut config = (*member.host.config().expect("a configuration")).clone();
+            let model = config.services["model"].clone();
+            config.version += 1;
+            config.services.insert("new-model".to_owned(), model);
+            member.host.set_config(config);
+        }
+        wait_ms(500).await;
+        let writes = fleet.journal_writes_in(3_000).await;
+        assert_eq!(writes, 0, "beside a service without engines");
+    });
+}
+
 /// Guards against a stream that waits for, or goes on at another version than, one that nobody serves
 /// any more, and against hosts that answer from memory while the store is away.
 #[test]
