Bound the memory and the work of versions and kept changes

Found by reading. (2) Versions and services that other writers name in entries were remembered for as long as the process lives: those that were last there 120 s ago are forgotten. (3) A relay copied each change a second time for hosts that need it in parts, also when none is kept. No figure was measured. stream_versions_forget keeps its assertions; version_history_since checks what is forgotten.

--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -673,6 +673,12 @@
             return;
         }
         self.removed_ms = now_ms;
+        // Other writers may name any service and version.
+        let forgotten_ms = now_ms.saturating_sub(RETENTION_MS);
+        self.versions.retain(|_, history| {
+            history.forget(forgotten_ms);
+            !history.is_empty()
+        });
         for key in self.backends.keys() {
             if !self.backends.get(key).is_removable(now_ms) {
                 continue;
--- a/crates/yucca-serve/src/relay.rs
+++ b/crates/yucca-serve/src/relay.rs
@@ -465,13 +465,17 @@
                 }
                 batches
             };
-            let change = Batch {
-                kind: at,
-                from: continues_from,
-                to: last,
-                objects: changes.objects.iter().map(relayed_object).collect(),
-            };
-            self.kept_large.borrow_mut()[at].record(change, batches.is_empty());
+            let kept_large = &mut self.kept_large.borrow_mut()[at];
+            if batches.is_empty() || kept_large.is_kept() {
+                let objects = changes.objects.iter().map(relayed_object).collect();
+                let change = Batch {
+                    kind: at,
+                    from: continues_from,
+                    to: last,
+                    objects,
+                };
+                kept_large.record(change);
+            }
             let kept = &mut self.kept.borrow_mut()[at];
             kept.extend(batches.iter().cloned());
             let excess = kept.len().saturating_sub(MAX_KEPT);
--- a/crates/yucca-serve/src/relay_parts.rs
+++ b/crates/yucca-serve/src/relay_parts.rs
@@ -59,14 +59,17 @@
 }
 
 impl KeptChange {
-    /// Records the change `next`, which continues from the one before. `is_large` tells that it fits into
-    /// no datagram.
-    pub fn record(&mut self, next: Batch, is_large: bool) {
+    /// Whether changes are kept, to which later ones are to be added whatever their size.
+    pub fn is_kept(&self) -> bool {
+        self.merged.is_some()
+    }
+
+    /// Adds the change `next`, which continues from the one before. If all together are too large, only
+    /// this one is kept.
+    pub fn record(&mut self, next: Batch) {
         let merged = self.merged.take().map(|kept| merge(kept, &next));
         let fits = |batch: &Batch| size(batch) <= MAX_CHANGE_BYTES;
-        self.merged = merged
-            .filter(fits)
-            .or_else(|| Some(next).filter(|next| is_large && fits(next)));
+        self.merged = merged.filter(fits).or_else(|| Some(next).filter(fits));
     }
 
     /// Returns the parts that answer a request, sent by the host `sender`; none if the change does not
--- a/src/stream_version.rs
+++ b/src/stream_version.rs
@@ -4,10 +4,12 @@
 //! version that began it. Hosts remember the versions of the streams that began lately. What nobody
 //! remembers can be inferred if engines had only one version for as long as any stream lasts.
 
+use std::collections::VecDeque;
+
 use indexmap::IndexMap;
 
-/// Maximum number of streams that are remembered.
-const MAX_STREAMS: usize = 50_000;
+/// Maximum number of records that are kept.
+const MAX_RECORDS: usize = 50_000;
 
 /// Identifies a software version by a hash of its name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -30,6 +32,16 @@
         *last_ms = at_ms.max(*last_ms);
     }
 
+    /// Forgets the versions that were last there before `before_ms`.
+    pub fn forget(&mut self, before_ms: u64) {
+        self.last_ms.retain(|_, last_ms| *last_ms >= before_ms);
+    }
+
+    /// Whether no version is known.
+    pub fn is_empty(&self) -> bool {
+        self.last_ms.is_empty()
+    }
+
     /// Returns the versions that were there after `since_ms`.
     pub fn since(&self, since_ms: u64) -> impl Iterator<Item = VersionId> {
         let versions = self.last_ms.iter();
@@ -46,26 +58,32 @@
     recorded_ms: u64,
 }
 
-/// The versions of the streams that began lately, in the order in which this host learnt of them.
+/// The versions of the streams that began lately.
 #[derive(Debug, Default)]
 pub struct StreamVersions {
     streams: IndexMap<StreamId, Stream>,
+    /// Each record with its time, the oldest first. A stream that was recorded again is in it twice.
+    by_age: VecDeque<(StreamId, u64)>,
 }
 
 impl StreamVersions {
-    /// Records the version of a stream, and forgets those that were recorded before `forgotten_ms`.
+    /// Records the version of a stream, and forgets those that were recorded last before `forgotten_ms`.
     pub fn record(&mut self, id: StreamId, version: VersionId, now_ms: u64, forgotten_ms: u64) {
         let stream = Stream {
             version,
             recorded_ms: now_ms,
         };
-        self.streams.shift_remove(&id);
         self.streams.insert(id, stream);
-        let is_old = |stream: &Stream| stream.recorded_ms < forgotten_ms;
-        let old = self.streams.values().take_while(|stream| is_old(stream));
-        let excess = self.streams.len().saturating_sub(MAX_STREAMS);
-        let forgotten = old.count().max(excess);
-        self.streams.drain(..forgotten);
+        self.by_age.push_back((id, now_ms));
+        while let Some((id, recorded_ms)) = self.by_age.front().copied()
+            && (recorded_ms < forgotten_ms || self.by_age.len() > MAX_RECORDS)
+        {
+            self.by_age.pop_front();
+            let is_latest = |stream: &Stream| stream.recorded_ms == recorded_ms;
+            if self.streams.get(&id).is_some_and(is_latest) {
+                self.streams.swap_remove(&id);
+            }
+        }
     }
 
     /// Returns the version of a stream; `None` if it is not known.
@@ -73,7 +91,7 @@
         self.streams.get(&id).map(|stream| stream.version)
     }
 
-    /// Iterates over the streams with their versions.
+    /// Iterates over the streams with their versions, in no order.
     pub fn iter(&self) -> impl Iterator<Item = (StreamId, VersionId)> {
         self.streams
             .iter()
--- a/tests/stream_version.rs
+++ b/tests/stream_version.rs
@@ -126,4 +126,8 @@
     assert_eq!(since(699), [OLD, NEW]);
     assert_eq!(since(700), [NEW]);
     assert_eq!(since(900), []);
+    history.forget(900);
+    assert_eq!(history.since(0).collect::<Vec<_>>(), [NEW]);
+    history.forget(901);
+    assert!(history.is_empty());
 }
