--- a/crates/yucca-serve/src/stream_journal.rs
+++ b/crates/yucca-serve/src/stream_journal.rs
@@ -16,7 +16,7 @@
 use crate::ports::{Freshness, Kind, Object, ObjectStore, StoreFault};
 use crate::stream_versions::{self, lifetime_ms};
 
-/// Interval between two writes. Streams that began within it before a loss of all hosts are lost, and most
+/// Interval between two writes. Streams that began within it before a loss of all hosts are lost, and many
 /// streams that run at a moment began a few hundred milliseconds before.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
 /// The same while only one version has been there for [`QUIET_MS`].
--- a/crates/yucca-serve/src/version_record.rs
+++ b/crates/yucca-serve/src/version_record.rs
@@ -2,8 +2,7 @@
 //! any stream lasts.
 //!
 //! The holder of the lease on engine roles writes it, once when a version appears and once when it has
-//! been the only one for long enough. Hosts read it when they have just started, a caller resumes a
-//! stream, and no other host can answer for it.
+//! been the only one for long enough. A host that has just started reads it once.
 
 use std::rc::Rc;
 
