Log how a host that refuses a request learnt of its configuration

What callers saw: a 404 or 401 as only an older configuration says. The log line of a refusal named the deciding version, but not whether the host knew of a newer one.

E202 of a 404 or 401 has revision=, source=, age_ms= and claimed= now: a claimed= above revision= is a host that knew that it was behind, one that equals it a host whose relays were behind.

--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -26,7 +26,7 @@
 use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::peers::{Peers, PrefillAnnouncement, PrefillEnd};
-use crate::ports::{Backends, NoticeContent, Object, Target};
+use crate::ports::{Backends, Kind, NoticeContent, Object, Target};
 use crate::recency::{ConfigId, ConfigRecency};
 use crate::relay::Relay;
 use crate::scaling::PendingEngines;
@@ -99,6 +99,15 @@
     }
 }
 
+/// How a configuration reached a host.
+#[derive(Debug, Clone, Copy)]
+struct ConfigOrigin {
+    /// Revision of its object.
+    revision: u64,
+    source: Source,
+    activated_ms: u64,
+}
+
 /// State shared by all requests of a host.
 #[derive(Debug)]
 pub struct Host<B> {
@@ -144,6 +153,8 @@
     /// Counts for usage reports; `None` if none are due.
     pub usage: Option<HostUsage>,
     config: RefCell<Option<Rc<ServingConfig>>>,
+    /// How the active configuration came; `None` if it did not come from the store.
+    config_origin: Cell<Option<ConfigOrigin>>,
     retry_budgets: RefCell<IndexMap<String, Budget>>,
     host_count: Cell<u32>,
     shutdown: Cell<Shutdown>,
@@ -189,6 +200,7 @@
             recency,
             usage,
             config: RefCell::default(),
+            config_origin: Cell::default(),
             retry_budgets: RefCell::default(),
             host_count: Cell::new(1),
             shutdown: Cell::new(shutdown),
@@ -271,12 +283,32 @@
             }
             let origin = format!(" revision={} source={}", object.revision, source.name());
             self.activate(config, &origin);
+            self.config_origin.set(Some(ConfigOrigin {
+                revision: object.revision,
+                source,
+                activated_ms: self.now_ms(),
+            }));
         } else if active != Some(config.version) {
             let fields = format!("version={} revision={}", config.version, object.revision);
             log::write(Event::CatalogueStale, &fields);
         }
     }
 
+    /// Returns the fields of a log line that tell how and when the active configuration came, and the
+    /// revision of the newest one that a relay claims to know.
+    pub(crate) fn config_origin_fields(&self) -> String {
+        let Some(origin) = self.config_origin.get() else {
+            return String::new();
+        };
+        format!(
+            " revision={} source={} age_ms={} claimed={}",
+            origin.revision,
+            origin.source.name(),
+            self.now_ms().saturating_sub(origin.activated_ms),
+            self.relay.claimed(Kind::Config).unwrap_or(0),
+        )
+    }
+
     /// Whether the host can serve: it has a configuration and a full listing of the backends, can check
     /// API keys, and is not stopping.
     pub fn is_ready(&self) -> bool {
--- a/crates/yucca-serve/src/relay.rs
+++ b/crates/yucca-serve/src/relay.rs
@@ -195,6 +195,12 @@
         self.relays.borrow().fresh_ranks(self.now_ms())
     }
 
+    /// Returns the highest revision of a change of a kind that a fresh relay claims to have sent; `None` if
+    /// none claims any.
+    pub(crate) fn claimed(&self, kind: Kind) -> Option<u64> {
+        self.relays.borrow().claimed(index(kind)?, self.now_ms())
+    }
+
     /// Returns the number of received datagrams with changes that are not yet applied.
     pub fn queued_batches(&self) -> usize {
         self.inbox.borrow().iter().map(VecDeque::len).sum()
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -48,14 +48,14 @@
         return refuse(host, &request.id, Code::NotReady, Some(RETRY_AFTER_MS));
     };
     let Some(route) = config.route(&request.host, request.path()) else {
-        let cause = format!(" config={}", config.version);
+        let cause = format!(" config={}{}", config.version, host.config_origin_fields());
         return refuse_because(host, &request.id, Code::UnknownEntry, None, &cause);
     };
     let urgency = match authenticate(host, &config, route, &mut request) {
         Ok(urgency) => urgency,
         Err(code) => {
             let retry_after_ms = (code == Code::KeysUnproven).then_some(RETRY_AFTER_MS);
-            let cause = format!(" config={}", config.version);
+            let cause = format!(" config={}{}", config.version, host.config_origin_fields());
             return refuse_because(host, &request.id, code, retry_after_ms, &cause);
         }
     };
--- a/src/watch_relay.rs
+++ b/src/watch_relay.rs
@@ -157,11 +157,16 @@
     /// Returns whether a host that has all objects of kind `kind` as of `revision` receives further
     /// changes from the relays. If the relays' claims differ, all of them must be met.
     pub fn covers(&self, kind: usize, revision: u64, now_ms: u64) -> bool {
-        let fresh = self
-            .others
-            .values()
-            .filter(|relay| relay.fresh_until_ms > now_ms);
+        let claimed = self.claimed(kind, now_ms);
+        claimed.is_some_and(|needed| needed <= revision)
+    }
+
+    /// Returns the highest revision that a host needs to have all changes of kind `kind` that the fresh
+    /// relays claim; `None` if none of them claims any.
+    pub fn claimed(&self, kind: usize, now_ms: u64) -> Option<u64> {
+        let others = self.others.values();
+        let fresh = others.filter(|relay| relay.fresh_until_ms > now_ms);
         let needed = fresh.filter_map(|relay| Some(relay.claims[kind]?.needed()));
-        needed.max().is_some_and(|needed| needed <= revision)
+        needed.max()
     }
 }
