Count the time that a relay's claims wait on their way

Cause: hosts rely on a relay that was in contact with the store within 0.4 of the bound. A claim carries its age when it is sent, and counted as that old when it was handled. One that had waited on the relay's link (10 Mbit/s on this site), or in the receiver's socket, looked new, so that hosts relied on relays that were behind by that wait. All other paths count from a time on the own clock.

Evidence: relay_delayed_claims, with the datagrams of both relays delayed by 0.6 to 4 s and a bound of 2 s, fails on the code before and passes now.

Change: updates carry their sender's time. The receiver takes what an update took longer than the fastest one of the same process as part of its age. No message more, 16 bytes a claim. A delay that lasts from a relay's first message on is not seen.

--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -146,7 +146,7 @@
     /// Metrics of this host.
     pub metrics: Metrics,
     /// Clock for proofs, which also advances while the host is suspended.
-    pub clock: BootClock,
+    pub clock: Rc<BootClock>,
     /// Recency of the configuration; `None` if the time for which a withdrawn API key is accepted is not
     /// limited.
     pub recency: Option<ConfigRecency>,
@@ -171,11 +171,11 @@
     pub fn new(deployment: Deployment, backends: B, draw_seed: u64) -> Self {
         let own = HostId(hash_of(&deployment.name));
         let shutdown = Shutdown::new(deployment.grace_ms);
-        let relay = Relay::new(&deployment.name, deployment.change_bound_ms());
+        let incarnation = hash_of((draw_seed, own.0));
+        let relay = Relay::new(&deployment.name, incarnation, deployment.change_bound_ms());
         let memory = Memory::new(deployment.memory_bytes);
         let connections = Connections::new(deployment.caller_descriptors, memory.clone());
         let recency = deployment.revoke_ms.map(ConfigRecency::new);
-        let incarnation = hash_of((draw_seed, own.0));
         let usage = deployment.usage;
         let usage = usage.map(|timing| HostUsage::new(timing, own, incarnation));
         Self {
@@ -196,7 +196,7 @@
             rates: RefCell::new(FleetRates::new(own, draw_seed as u32)),
             streams: HostStreams::default(),
             metrics: Metrics::default(),
-            clock: BootClock::default(),
+            clock: Rc::default(),
             recency,
             usage,
             config: RefCell::default(),
@@ -211,10 +211,15 @@
         }
     }
 
-    /// Replaces the clock for proofs.
+    /// Replaces the clock for proofs and for the transit times of messages.
     #[must_use]
     pub fn with_clock(self, clock: BootClock) -> Self {
-        Self { clock, ..self }
+        let clock = Rc::new(clock);
+        Self {
+            relay: self.relay.with_clock(Rc::clone(&clock)),
+            clock,
+            ..self
+        }
     }
 
     /// Replaces the policy that decides about generations.
--- a/crates/yucca-serve/src/relay.rs
+++ b/crates/yucca-serve/src/relay.rs
@@ -3,20 +3,23 @@
 //! [`yuccacove::watch_relay`] decides which hosts watch the store as relays and which rely on them.
 //! A relay sends each change that its watches return three times, because datagrams can be lost. At
 //! short intervals it also sends its claims, which state the range of revisions whose changes it
-//! has sent. A host that lacks a claimed change requests it from a relay, and after a while gets it
-//! by a watch of its own.
+//! has sent. The age of a claim includes the time that it waited on its way. A host that lacks a claimed
+//! change requests it from a relay, and after a while gets it by a watch of its own.
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
 
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
 use tokio::time::{Duration, Instant, sleep};
 use yucca_io::log;
 use yuccacove::event::Event;
+use yuccacove::transit_delay::TransitDelay;
 use yuccacove::watch_relay::{Claim, Relays, Timing};
 
+use crate::boot_clock::BootClock;
 use crate::follow::StoreHealth;
 use crate::hash::hash_of;
 use crate::ports::{Kind, Objects};
@@ -61,6 +64,8 @@
 const REQUEST_SHARE: f64 = 0.1;
 /// Interval between two requests, as a fraction of the same bound.
 const REQUEST_INTERVAL_SHARE: f64 = 0.05;
+/// Maximum number of hosts whose transit times are remembered.
+const MAX_SENDERS: usize = 1_000;
 /// Interval at which a host checks whether it can still rely on others.
 const CHECK_MS: u64 = 50;
 
@@ -69,6 +74,10 @@
 pub struct StoreUpdate {
     /// Hash of the sender's name.
     sender: u64,
+    /// Process of the sender.
+    incarnation: u64,
+    /// Time of sending on the sender's clock.
+    sent_ms: u64,
     /// Time since the start of the sender's latest successful probe of the store.
     age_ms: u64,
     claims: [Option<Claim>; KINDS],
@@ -91,6 +100,8 @@
     /// Health of the store as this host sees it.
     pub store_health: Rc<StoreHealth>,
     rank: u64,
+    incarnation: u64,
+    clock: Rc<BootClock>,
     fresh_ms: u64,
     probe_ms: u64,
     claim_ms: u64,
@@ -103,6 +114,8 @@
     resume_delay_ms: u64,
     started: Instant,
     relays: RefCell<Relays<KINDS>>,
+    /// How long the updates of each other host are on their way, by its rank.
+    transits: RefCell<IndexMap<u64, TransitDelay>>,
     was_watching: Cell<bool>,
     claims: RefCell<[Option<Claim>; KINDS]>,
     /// Whether a call of this host confirmed its claim. A watch that waits in a silent store looks
@@ -140,8 +153,9 @@
 }
 
 impl Relay {
-    /// Creates the state of the host `name`, where changes must be applied within `bound_ms`.
-    pub fn new(name: &str, bound_ms: u64) -> Self {
+    /// Creates the state of the host `name`, where changes must be applied within `bound_ms`. `incarnation`
+    /// differs between runs of one host.
+    pub fn new(name: &str, incarnation: u64, bound_ms: u64) -> Self {
         let rank = hash_of(name);
         let share = |share: f64| (bound_ms as f64 * share) as u64;
         let fresh_ms = share(FRESH_SHARE);
@@ -152,6 +166,8 @@
         Self {
             store_health: Rc::default(),
             rank,
+            incarnation,
+            clock: Rc::default(),
             fresh_ms,
             probe_ms: share(PROBE_SHARE),
             claim_ms: share(CLAIM_SHARE),
@@ -161,6 +177,7 @@
             resume_delay_ms: share(MIN_RESUME_SHARE) + rank % share(RESUME_SPREAD_SHARE).max(1),
             started: Instant::now(),
             relays: RefCell::new(Relays::new(rank, timing)),
+            transits: RefCell::default(),
             was_watching: Cell::new(true),
             claims: RefCell::default(),
             is_confirmed: RefCell::default(),
@@ -181,6 +198,12 @@
         }
     }
 
+    /// Replaces the clock by which the wait of updates on their way is measured.
+    #[must_use]
+    pub fn with_clock(self, clock: Rc<BootClock>) -> Self {
+        Self { clock, ..self }
+    }
+
     /// Whether there are changes or requests to send.
     pub fn has_updates(&self) -> bool {
         !self.outbox.borrow().is_empty()
@@ -233,6 +256,8 @@
     fn update(&self, age_ms: u64, batch: Option<Batch>) -> StoreUpdate {
         StoreUpdate {
             sender: self.rank,
+            incarnation: self.incarnation,
+            sent_ms: self.clock.now_ms(),
             age_ms,
             claims: *self.claims.borrow(),
             batch,
@@ -403,14 +428,20 @@
     pub fn receive(&self, update: StoreUpdate) {
         let StoreUpdate {
             sender,
+            incarnation,
+            sent_ms,
             age_ms,
             claims,
             batch,
         } = update;
         let now_ms = self.now_ms();
-        self.relays
-            .borrow_mut()
-            .receive_claims(sender, age_ms, claims, now_ms);
+        let waited_ms = self.waited_ms(sender, incarnation, sent_ms);
+        self.relays.borrow_mut().receive_claims(
+            sender,
+            age_ms.saturating_add(waited_ms),
+            claims,
+            now_ms,
+        );
         // A host that watches gets the changes from the store and would never remove these from the
         // inbox.
         let is_wanted = |batch: &Batch| batch.kind < KINDS && !self.is_watching();
@@ -424,6 +455,17 @@
         self.received.send_modify(|received| *received += 1);
     }
 
+    /// Returns for how long an update that is handled now waited on its way.
+    fn waited_ms(&self, sender: u64, incarnation: u64, sent_ms: u64) -> u64 {
+        let mut transits = self.transits.borrow_mut();
+        let received_ms = self.clock.now_ms();
+        let transit = transits.entry(sender).or_default();
+        let waited_ms = transit.record(incarnation, sent_ms, received_ms);
+        let excess = transits.len().saturating_sub(MAX_SENDERS);
+        transits.drain(..excess);
+        waited_ms
+    }
+
     /// Records a full listing of a kind as of `revision`.
     pub(crate) fn record_listing(&self, kind: Kind, revision: u64) {
         let Some(at) = index(kind) else { return };
--- a/crates/yucca-serve/tests/relay.rs
+++ b/crates/yucca-serve/tests/relay.rs
@@ -121,6 +121,8 @@
     is_dead: Cell<bool>,
     /// Whether it is disconnected from the other hosts.
     is_isolated: Cell<bool>,
+    /// Time for which its datagrams wait on its link.
+    link_delay_ms: Cell<u64>,
 }
 
 impl Member {
@@ -162,6 +164,7 @@
             tasks,
             is_dead: Cell::new(false),
             is_isolated: Cell::new(false),
+            link_delay_ms: Cell::new(0),
         }
     }
 
@@ -312,7 +315,8 @@
                 for (to, receiver) in members.iter().enumerate() {
                     let is_disconnected = sender.is_isolated.get() || receiver.is_isolated.get();
                     if to != from && !is_disconnected && !receiver.is_dead.get() && !is_lost() {
-                        receiver.host.relay.receive(update.clone());
+                        let delay_ms = sender.link_delay_ms.get();
+                        deliver_later(Rc::clone(&receiver.host), update.clone(), delay_ms);
                     }
                 }
             }
@@ -320,6 +324,17 @@
     }
 }
 
+/// Delivers an update after it has waited on its sender's link.
+fn deliver_later(host: Rc<Host<FakeBackends>>, update: StoreUpdate, delay_ms: u64) {
+    if delay_ms == 0 {
+        return host.relay.receive(update);
+    }
+    spawn_local(async move {
+        wait_ms(delay_ms).await;
+        host.relay.receive(update);
+    });
+}
+
 /// A change of the backends must not cost a call to the store by each host.
 #[test]
 fn relay_two_hosts_watch() {
@@ -496,6 +511,37 @@
     }
 }
 
+/// Guards against claims that waited on the relays' links and count as new: hosts handled requests by an older
+/// configuration than the bound allows.
+#[test]
+fn relay_delayed_claims() {
+    let cases =
+        [600, 1_200, 1_500, 1_800, 4_000].map(|delay_ms| [(delay_ms, false), (delay_ms, true)]);
+    for (delay_ms, is_killed) in cases.concat() {
+        run_virtual(async {
+            let group = Group::spawn(7, 0.0, 1);
+            wait_ms(10_000).await;
+            for at in group.relays() {
+                group.members[at].link_delay_ms.set(delay_ms);
+            }
+            for change in 0..4 {
+                wait_ms(1_370).await;
+                if is_killed && change == 2 {
+                    for at in group.relays() {
+                        group.members[at].kill();
+                    }
+                }
+                group.add_backend();
+                group.change_config_of(24_000);
+                wait_ms(BOUND_MS).await;
+                let behind = group.behind();
+                let case = format!("delay {delay_ms} ms, killed {is_killed}, change {change}");
+                assert!(behind.is_empty(), "{case}: {behind:?}");
+            }
+        });
+    }
+}
+
 /// Guards against a host that waits for the rest of a change from a relay that has gone.
 #[test]
 fn relay_parts_of_killed_relay() {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod stream_version;
 pub mod subset;
 pub mod suspect;
+pub mod transit_delay;
 pub mod usage_copies;
 pub mod usage_window;
 pub mod watch_relay;
