--- a/crates/yucca-emulator/src/pool.rs
+++ b/crates/yucca-emulator/src/pool.rs
@@ -14,8 +14,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{Duration, Instant, sleep, sleep_until};
 use yucca_serve::ports::{
-    BackendResponse, Backends, Call, CallFault, EngineReport, Kind, KvCacheHandle, Notice,
-    OrderReply, PhaseOrder, Prefilled, Target,
+    BackendResponse, Backends, Call, CallFault, Connectivity, EngineReport, Kind, KvCacheHandle,
+    Notice, OrderReply, PhaseOrder, Prefilled, Target,
 };
 use yucca_serve::request::{Prompt, Request};
 use yuccacove::prompt_placement::Phase;
@@ -209,6 +209,7 @@
             .map(|(number, name)| Target {
                 id: Rc::from(name.as_str()),
                 address: server_address(number),
+                via: None,
             })
             .collect()
     }
@@ -231,6 +232,7 @@
         Some(Target {
             id: Rc::from(name),
             address: node.address,
+            via: None,
         })
     }
 
@@ -569,9 +571,9 @@
         Ok(OrderReply::Accepted)
     }
 
-    async fn refuses_connections(&self, _: &Target) -> bool {
+    async fn probe(&self, _: &Target) -> Connectivity {
         // Emulated engines do not crash.
-        false
+        Connectivity::Opened
     }
 
     fn take_notices(&self) -> Vec<Notice> {
--- a/crates/yucca-entry/src/engine_stream.rs
+++ b/crates/yucca-entry/src/engine_stream.rs
@@ -153,14 +153,15 @@
         let mut connection = pool
             .get(request.address)
             .await
-            .map_err(Fault::NotConnected)?;
+            .map_err(|fault| Fault::NotConnected(fault.to_string()))?;
         let mut response = Self::send(&mut connection, request, timeouts).await;
         if connection.is_reused()
             && let Err(Fault::Broken(cause)) = &response
         {
             // The engine had closed the idle connection. A chat request may be retried.
             let opened = pool.open(request.address).await;
-            connection = opened.map_err(|e| Fault::broken_and_not_connected(cause, &e))?;
+            connection =
+                opened.map_err(|e| Fault::broken_and_not_connected(cause, &e.to_string()))?;
             response = Self::send(&mut connection, request, timeouts).await;
         }
         let response = response?;
--- a/crates/yucca-entry/src/plain.rs
+++ b/crates/yucca-entry/src/plain.rs
@@ -103,7 +103,7 @@
         Reuse::Allowed => host.pool.get(server.address).await,
         Reuse::Forbidden => host.pool.open(server.address).await,
     };
-    let mut connection = connection.map_err(Fault::NotConnected)?;
+    let mut connection = connection.map_err(|fault| Fault::NotConnected(fault.to_string()))?;
     let limit = host.timing.first_byte(call.first_token_ms);
     let mut response = send_request(&mut connection, request.clone(), limit).await;
     if connection.is_reused()
@@ -111,7 +111,7 @@
     {
         // The server had closed the idle connection. An idempotent call may be retried.
         let opened = host.pool.open(server.address).await;
-        connection = opened.map_err(|e| Fault::broken_and_not_connected(cause, &e))?;
+        connection = opened.map_err(|e| Fault::broken_and_not_connected(cause, &e.to_string()))?;
         response = send_request(&mut connection, request, limit).await;
     }
     let (parts, body) = response?.into_parts();
--- a/crates/yucca-entry/src/probe.rs
+++ b/crates/yucca-entry/src/probe.rs
@@ -50,7 +50,8 @@
     limit_ms: u64,
 ) -> Result<(u16, Bytes), String> {
     let exchange = async {
-        let mut connection = Connection::open(address, limit_ms).await?;
+        let opened = Connection::open(address, limit_ms).await;
+        let mut connection = opened.map_err(|fault| fault.to_string())?;
         let request = Request::builder()
             .method(method)
             .uri(path)
--- a/crates/yucca-io/src/connections.rs
+++ b/crates/yucca-io/src/connections.rs
@@ -1,6 +1,7 @@
 //! HTTP connections to backends, and a pool that reuses them.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
@@ -11,12 +12,14 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
 use crate::limited_reads::LimitedReads;
 use crate::segmented_body::SegmentedBody;
+use crate::tunnel::{Tunnel, TunnelFault};
 
 /// Size of the read buffer, which is also the maximum size of a response's head. A backend that sends
 /// informational responses without end fills the buffer up to 128 times before other tasks of the
@@ -44,6 +47,8 @@
     driver: AbortHandle,
     address: SocketAddr,
     is_reused: bool,
+    /// Whether it leads through another host. It is not reused then.
+    is_tunnel: bool,
 }
 
 impl Connection {
@@ -51,43 +56,55 @@
     ///
     /// # Errors
     ///
-    /// A description of the failure for log lines. No byte of a request was sent.
-    pub async fn open(address: SocketAddr, timeout_ms: u64) -> Result<Self, String> {
+    /// If it cannot be opened. No byte of a request was sent.
+    pub async fn open(address: SocketAddr, timeout_ms: u64) -> Result<Self, BackendFault> {
         Self::open_with_probes(address, timeout_ms, KEEPALIVE_PROBES).await
     }
 
+    /// Opens a connection to `address` through the host at `host`.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Tunnel::open`].
+    pub async fn open_through(host: SocketAddr, address: SocketAddr) -> Result<Self, TunnelFault> {
+        let tunnel = Tunnel::open(host, address).await?;
+        let connection = Self::handshake(tunnel, address).await;
+        let mut connection = connection.map_err(|cause| TunnelFault::Host(cause.to_string()))?;
+        connection.is_tunnel = true;
+        Ok(connection)
+    }
+
     async fn open_with_probes(
         address: SocketAddr,
         timeout_ms: u64,
         probes: u32,
-    ) -> Result<Self, String> {
-        let open = async {
-            let stream = TcpStream::connect(address)
-                .await
-                .map_err(|e| e.to_string())?;
-            stream.set_nodelay(true).map_err(|e| e.to_string())?;
-            set_dead_peer_detection(&stream, probes).map_err(|e| e.to_string())?;
-            let (sender, driver) = http1::Builder::new()
-                .max_buf_size(MAX_BUFFER_BYTES)
-                .handshake(TokioIo::new(LimitedReads::new(stream)))
-                .await
-                .map_err(|e| e.to_string())?;
-            let driver = tokio::spawn(async move {
-                // A connection error is also reported to the request in progress.
-                let _ = driver.await;
-            })
-            .abort_handle();
-            Ok(Self {
-                sender,
-                driver,
-                address,
-                is_reused: false,
-            })
-        };
-        match timeout(Duration::from_millis(timeout_ms), open).await {
-            Ok(opened) => opened,
-            Err(_) => Err(format!("no connection to {address} within {timeout_ms} ms")),
-        }
+    ) -> Result<Self, BackendFault> {
+        let stream = connect(address, timeout_ms).await?;
+        set_dead_peer_detection(&stream, probes).map_err(|_| BackendFault::Refused)?;
+        let connection = Self::handshake(stream, address).await;
+        connection.map_err(|_| BackendFault::Refused)
+    }
+
+    async fn handshake(
+        io: impl AsyncRead + AsyncWrite + Unpin + Send + 'static,
+        address: SocketAddr,
+    ) -> Result<Self, hyper::Error> {
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(LimitedReads::new(io)))
+            .await?;
+        let driver = tokio::spawn(async move {
+            // A connection error is also reported to the request in progress.
+            let _ = driver.await;
+        })
+        .abort_handle();
+        Ok(Self {
+            sender,
+            driver,
+            address,
+            is_reused: false,
+            is_tunnel: false,
+        })
     }
 
     /// Whether the connection has carried an earlier request.
@@ -132,13 +149,64 @@
     }
 }
 
-/// Whether a connection to `address` is refused within `timeout_ms`, because no process listens
-/// there. A host that does not respond at all does not refuse.
-pub async fn is_refused(address: SocketAddr, timeout_ms: u64) -> bool {
+/// Why no connection to a backend could be opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BackendFault {
+    /// It was refused or reset: no process listens there, or the network says that there is no path.
+    Refused,
+    /// Nothing answered in time.
+    Silent,
+}
+
+impl fmt::Display for BackendFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Refused => "connection refused",
+            Self::Silent => "no connection in time",
+        })
+    }
+}
+
+/// Opens a TCP connection to `address` within `timeout_ms`.
+///
+/// # Errors
+///
+/// If it cannot be opened.
+pub async fn connect(address: SocketAddr, timeout_ms: u64) -> Result<TcpStream, BackendFault> {
     let connecting = TcpStream::connect(address);
     match timeout(Duration::from_millis(timeout_ms), connecting).await {
-        Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
+        Ok(Ok(stream)) => prepare(&stream)
+            .map(|()| stream)
+            .map_err(|_| BackendFault::Refused),
+        Ok(Err(error)) if error.kind() == ErrorKind::TimedOut => Err(BackendFault::Silent),
+        Ok(Err(_)) => Err(BackendFault::Refused),
+        Err(_) => Err(BackendFault::Silent),
+    }
+}
+
+/// Configures a connection between two processes: no delay of small writes, and an end if the other one
+/// disappears without closing it.
+pub(crate) fn prepare(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    set_dead_peer_detection(stream, KEEPALIVE_PROBES)
+}
+
+/// Tries to connect to `address`, through the host at `via` if there is one.
+///
+/// # Errors
+///
+/// Why it failed. A host between that does not take the connection tells nothing of the backend.
+pub async fn probe(
+    address: SocketAddr,
+    via: Option<SocketAddr>,
+    timeout_ms: u64,
+) -> Result<(), TunnelFault> {
+    match via {
+        Some(host) => Tunnel::open(host, address).await.map(|_| ()),
+        None => {
+            let connected = connect(address, timeout_ms).await;
+            connected.map(|_| ()).map_err(TunnelFault::Backend)
+        }
     }
 }
 
@@ -221,7 +289,7 @@
     /// # Errors
     ///
     /// As [`Connection::open`].
-    pub async fn get(&self, address: SocketAddr) -> Result<Connection, String> {
+    pub async fn get(&self, address: SocketAddr) -> Result<Connection, BackendFault> {
         self.get_recent(address, self.idle_limit).await
     }
 
@@ -236,7 +304,15 @@
         &self,
         address: SocketAddr,
         max_idle_time: Duration,
-    ) -> Result<Connection, String> {
+    ) -> Result<Connection, BackendFault> {
+        match self.reuse(address, max_idle_time).await {
+            Some(connection) => Ok(connection),
+            None => self.open(address).await,
+        }
+    }
+
+    /// Returns a connection to `address` that has been idle for less than `max_idle_time`, if there is one.
+    pub async fn reuse(&self, address: SocketAddr, max_idle_time: Duration) -> Option<Connection> {
         while let Some(mut connection) = self.take_idle(address, max_idle_time) {
             let ready = timeout(
                 Duration::from_millis(READY_TIMEOUT_MS),
@@ -245,10 +321,10 @@
             .await;
             if matches!(ready, Ok(Ok(()))) {
                 connection.is_reused = true;
-                return Ok(connection);
+                return Some(connection);
             }
         }
-        self.open(address).await
+        None
     }
 
     /// Opens a new connection to `address`.
@@ -256,7 +332,7 @@
     /// # Errors
     ///
     /// As [`Connection::open`].
-    pub async fn open(&self, address: SocketAddr) -> Result<Connection, String> {
+    pub async fn open(&self, address: SocketAddr) -> Result<Connection, BackendFault> {
         Connection::open_with_probes(address, self.connect_timeout_ms, self.probes).await
     }
 
@@ -267,7 +343,7 @@
 
     /// As [`Pool::release`], for a connection that the peer keeps open for at most `limit`.
     pub fn release_with_idle_limit(&self, connection: Connection, limit: Duration) {
-        if connection.sender.is_closed() {
+        if connection.is_tunnel || connection.sender.is_closed() {
             return;
         }
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/yucca-io/src/lib.rs
+++ b/crates/yucca-io/src/lib.rs
@@ -40,5 +40,6 @@
 pub mod settings;
 pub mod stop;
 pub mod store;
+pub mod tunnel;
 pub mod uri;
 pub mod writer;
--- a/crates/yucca-io/src/limited_reads.rs
+++ b/crates/yucca-io/src/limited_reads.rs
@@ -1,11 +1,10 @@
-//! A TCP stream whose reads are small, so that the buffers they go to stay small.
+//! A stream whose reads are small, so that the buffers they go to stay small.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf, Take};
-use tokio::net::TcpStream;
 
 /// Largest number of bytes of a read. hyper doubles its buffer when a read fills it, from 8 KiB on, and
 /// each of up to three parts of a body that wait for a slow reader holds a buffer. Below 16 KiB, the buffer
@@ -14,24 +13,24 @@
 
 /// A stream that returns at most [`MAX_READ_BYTES`] at a time.
 #[derive(Debug)]
-pub struct LimitedReads {
-    stream: Take<TcpStream>,
+pub struct LimitedReads<S> {
+    stream: Take<S>,
 }
 
-impl LimitedReads {
+impl<S: AsyncRead + Unpin> LimitedReads<S> {
     /// Wraps a stream.
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: S) -> Self {
         Self {
             stream: stream.take(MAX_READ_BYTES as u64),
         }
     }
 
-    fn inner(&mut self) -> Pin<&mut TcpStream> {
+    fn inner(&mut self) -> Pin<&mut S> {
         Pin::new(self.stream.get_mut())
     }
 }
 
-impl AsyncRead for LimitedReads {
+impl<S: AsyncRead + Unpin> AsyncRead for LimitedReads<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -42,7 +41,7 @@
     }
 }
 
-impl AsyncWrite for LimitedReads {
+impl<S: AsyncRead + AsyncWrite + Unpin> AsyncWrite for LimitedReads<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/crates/yucca-serve/src/crashes.rs
+++ b/crates/yucca-serve/src/crashes.rs
@@ -14,6 +14,7 @@
 use crate::hash::hash_of;
 use crate::host::Host;
 use crate::ports::{Backends, CallFault};
+use crate::proxies;
 use crate::request::Request;
 use crate::serve::{Progress, RequestContext, Stage};
 
@@ -150,8 +151,7 @@
     let keys = context.crash_keys.clone();
     // The blame counts also if the caller leaves meanwhile, which drops the request.
     let recording = spawn_local(async move {
-        let target = host.target(key);
-        let is_crash = host.backends.refuses_connections(&target).await;
+        let is_crash = proxies::is_ended(&host, key).await;
         !is_crash || record_crash(&host, &request_id, key, blame, &keys)
     });
     recording.await.unwrap_or(true)
--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -119,6 +119,7 @@
             target: Target {
                 id: Rc::from(id),
                 address: entry.address,
+                via: None,
             },
             registration: if entry.is_draining {
                 Registration::Leaving { since_ms: 0 }
@@ -457,6 +458,16 @@
         serving
     }
 
+    /// Returns the backend at an address that may get new work, with the name of its service.
+    pub fn find_usable(&self, address: SocketAddr, now_ms: u64) -> Option<(BackendKey, String)> {
+        let at_address = |key: &&BackendKey| self.get(**key).target.address == address;
+        self.by_id.values().filter(at_address).find_map(|key| {
+            let service = &self.get(*key).entry.service;
+            let is_usable = self.usable(service, now_ms).contains(key);
+            is_usable.then(|| (*key, service.clone()))
+        })
+    }
+
     /// Returns the backends of `service` that serve.
     pub fn serving(&self, service: &str, now_ms: u64) -> Vec<BackendKey> {
         self.select(service, |backend| backend.is_serving(now_ms))
--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -25,8 +25,9 @@
 use crate::loads::Reservation;
 use crate::memory::Memory;
 use crate::metrics::Metrics;
-use crate::peers::{Peers, PrefillAnnouncement, PrefillEnd};
+use crate::peers::{BackendPause, Peers, PrefillAnnouncement, PrefillEnd};
 use crate::ports::{Backends, Kind, NoticeContent, Object, Target};
+use crate::proxies::{self, Paths};
 use crate::recency::{ConfigId, ConfigRecency};
 use crate::relay::Relay;
 use crate::scaling::PendingEngines;
@@ -38,7 +39,7 @@
 const RETRY_BUDGET_SHARE: f64 = 0.8;
 
 /// Longest time for which a backend may turn a host away with one response.
-const MAX_PAUSE_MS: u64 = 600_000;
+pub(crate) const MAX_PAUSE_MS: u64 = 600_000;
 
 /// Deployment settings of a host.
 #[derive(Debug, Clone)]
@@ -123,6 +124,8 @@
     pub relay: Relay,
     /// Notified when there are updates to send to the other hosts.
     pub peer_updates: Notify,
+    /// Paths to the backends, also through other hosts.
+    pub paths: Paths,
     /// Memory for bodies and connections.
     pub memory: Memory,
     /// Decisions for overload, and held requests.
@@ -187,6 +190,7 @@
             directory: RefCell::default(),
             peers: Peers::default(),
             peer_updates: Notify::new(),
+            paths: Paths::default(),
             overloads: Overloads::default(),
             demand: RefCell::default(),
             service_demand: HostDemand::default(),
@@ -414,18 +418,22 @@
         self.peer_updates.notify_one();
     }
 
-    /// Applies what backends have said of themselves in responses. This works also without the store,
-    /// and before each choice of a backend.
+    /// Applies what calls have told of backends. This works also without the store, and before each choice of a
+    /// backend.
     pub fn apply_notices(&self)
     where
         B: Backends,
     {
         for notice in self.backends.take_notices() {
             let at_ms = self.time_ms(notice.received);
-            let mut directory = self.directory.borrow_mut();
-            let Some(key) = directory.find(&notice.from) else {
+            let Some(key) = self.directory.borrow().find(&notice.from) else {
                 continue;
             };
+            if let NoticeContent::Connection(outcome) = notice.content {
+                proxies::record(self, key, outcome);
+                continue;
+            }
+            let mut directory = self.directory.borrow_mut();
             let backend = directory.get_mut(key);
             match notice.content {
                 NoticeContent::Leaving => {
@@ -436,9 +444,18 @@
                 }
                 NoticeContent::RetryAfter { wait_ms } => {
                     backend.pause_requests(at_ms + wait_ms.min(MAX_PAUSE_MS));
+                    if let Some(via) = notice.via {
+                        let pause = BackendPause {
+                            backend: backend.id_hash(),
+                            wait_ms,
+                        };
+                        self.peers.announce_pause(via, pause);
+                        self.peer_updates.notify_one();
+                    }
                     let fields = format!("back_end={} pause_ms={wait_ms}", notice.from);
                     log::write(Event::BackendLimited, &fields);
                 }
+                NoticeContent::Connection(_) => {}
             }
         }
     }
--- a/crates/yucca-serve/src/lib.rs
+++ b/crates/yucca-serve/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod plain_admission;
 pub mod ports;
 mod prefill;
+pub mod proxies;
 pub mod recency;
 pub mod relay;
 mod relay_batch;
--- a/crates/yucca-serve/src/metrics.rs
+++ b/crates/yucca-serve/src/metrics.rs
@@ -107,6 +107,10 @@
     pub requests: Counter,
     /// Retries, that is attempts after the first one of a request.
     pub retries: Counter,
+    /// Calls to backends through other hosts.
+    pub proxied_calls: Counter,
+    /// Tunnels of other hosts through this one.
+    pub taken_tunnels: Counter,
     /// Requests of this host under which a backend crashed.
     pub engine_crashes: Counter,
     /// Responses that are no answer to the request that was sent.
@@ -165,6 +169,8 @@
         Self {
             requests: Counter::default(),
             retries: Counter::default(),
+            proxied_calls: Counter::default(),
+            taken_tunnels: Counter::default(),
             engine_crashes: Counter::default(),
             invalid_responses: Counter::default(),
             refused_parts: Gauge::default(),
@@ -273,6 +279,16 @@
         let mut registry = Registry::with_prefix("yucca");
         registry.register("requests", "Requests received", self.requests.clone());
         registry.register("retries", "Second sends to back ends", self.retries.clone());
+        registry.register(
+            "proxied_calls",
+            "Calls to back ends through other hosts",
+            self.proxied_calls.clone(),
+        );
+        registry.register(
+            "taken_tunnels",
+            "Connections of other hosts to back ends through this one",
+            self.taken_tunnels.clone(),
+        );
         registry.register(
             "engine_crashes",
             "Requests under which a back end crashed",
--- a/crates/yucca-serve/src/peers.rs
+++ b/crates/yucca-serve/src/peers.rs
@@ -28,7 +28,7 @@
 use crate::engine_reports;
 use crate::follow::{Follower, Source, StoreHealth};
 use crate::hash::hash_of;
-use crate::host::Host;
+use crate::host::{Host, MAX_PAUSE_MS};
 use crate::loads::PrefillSource;
 use crate::ports::{Kind, Object, ObjectStore, Objects, StoreFault};
 use crate::recency::{Answer, Question};
@@ -74,6 +74,8 @@
 const SMALL_FLEET: usize = 16;
 /// Prefix of the names of the hosts' objects in the store.
 const HOST_PREFIX: &str = "host.";
+/// Number of times that a host is told of a pause.
+const PAUSE_SENDS: usize = 2;
 /// Pause before registration is tried again.
 const REGISTER_RETRY: Duration = Duration::from_millis(500);
 
@@ -215,6 +217,17 @@
     StorePart(Part),
     /// Software versions of streams.
     Streams(StreamMessage),
+    /// A backend that wants no requests from the recipient for some time.
+    BackendPause(BackendPause),
+}
+
+/// Tells a host through which a call went that the backend wants no requests from it for some time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendPause {
+    /// Hash of the backend's id.
+    pub backend: u64,
+    /// That time in milliseconds.
+    pub wait_ms: u64,
 }
 
 /// Load update: the sender's part of the engines' work.
@@ -266,6 +279,8 @@
     sample_ms: Cell<u64>,
     /// Notified when this host's entry is missing from the store.
     entry_lost: Notify,
+    /// Pauses to tell other hosts, with their addresses.
+    pauses: RefCell<Vec<(SocketAddr, BackendPause)>>,
 }
 
 impl Peers {
@@ -306,9 +321,25 @@
         self.unavailable.borrow_mut().push(announcement);
     }
 
+    /// Tells a host that a backend wants no requests from it. Datagrams may be lost.
+    pub(crate) fn announce_pause(&self, to: SocketAddr, pause: BackendPause) {
+        let repeated = [(to, pause); PAUSE_SENDS];
+        self.pauses.borrow_mut().extend(repeated);
+    }
+
+    /// Returns the addresses of the other hosts, with their availability zones.
+    pub(crate) fn addresses(&self) -> Vec<(SocketAddr, Rc<str>)> {
+        let hosts = self.hosts.borrow();
+        let hosts = hosts.values();
+        hosts
+            .map(|peer| (peer.address, Rc::clone(&peer.zone)))
+            .collect()
+    }
+
     fn has_updates(&self) -> bool {
         let has_prefills = !self.prefills.borrow().is_empty() || !self.ended.borrow().is_empty();
-        has_prefills || !self.unavailable.borrow().is_empty()
+        let has_pauses = !self.pauses.borrow().is_empty();
+        has_prefills || has_pauses || !self.unavailable.borrow().is_empty()
     }
 
     /// Returns the name of the group that shares the watches of the host `own`.
@@ -400,6 +431,8 @@
     let demand = demand_messages(host);
     let usage = usage_messages(host);
     let streams = stream_messages(host);
+    let pauses = std::mem::take(&mut *host.peers.pauses.borrow_mut()).into_iter();
+    let pauses = pauses.map(|(to, pause)| (vec![to], Datagram::BackendPause(pause)));
     let all = other_zones
         .into_iter()
         .chain(store)
@@ -409,7 +442,8 @@
         .chain(recency)
         .chain(demand)
         .chain(usage)
-        .chain(streams);
+        .chain(streams)
+        .chain(pauses);
     let all = all.filter_map(|(to, datagram)| {
         let bytes = encode(&datagram)?;
         Some(Outgoing { to, bytes })
@@ -747,6 +781,7 @@
         Ok((Datagram::StorePartRequest(request), _)) => host.relay.receive_part_request(&request),
         Ok((Datagram::StorePart(part), _)) => host.relay.receive_part(part),
         Ok((Datagram::Streams(message), _)) => stream_versions::receive(host, message),
+        Ok((Datagram::BackendPause(pause), _)) => apply_pause(host, pause),
         Ok((Datagram::Crashes(reports), _)) => apply_crashes(host, &reports),
         Ok((Datagram::Limits(reports), _)) => {
             let mut rates = host.rates.borrow_mut();
@@ -786,6 +821,14 @@
     }
 }
 
+fn apply_pause<B>(host: &Host<B>, pause: BackendPause) {
+    let mut directory = host.directory.borrow_mut();
+    if let Some(key) = directory.find_by_hash(pause.backend) {
+        let until_ms = host.now_ms() + pause.wait_ms.min(MAX_PAUSE_MS);
+        directory.get_mut(key).pause_requests(until_ms);
+    }
+}
+
 fn apply_crashes<B>(host: &Host<B>, reports: &[PartReport]) {
     let now_ms = host.now_ms();
     {
--- a/crates/yucca-serve/src/plain.rs
+++ b/crates/yucca-serve/src/plain.rs
@@ -21,6 +21,7 @@
 use crate::named_limits;
 use crate::plain_admission::{self, Admission, Measurement};
 use crate::ports::{BackendResponse, Backends, CallFault, ResponseBody};
+use crate::proxies;
 use crate::reply::{Interrupted, Reply, ReplyData};
 use crate::serve::{Progress, RequestContext, RunState, Stage};
 use crate::stream::UNCOUNTED_BYTES;
@@ -103,7 +104,11 @@
             ),
         );
         let run = async {
-            let sent = host.backends.send_request(&target, &context.request, call);
+            let sent = proxies::call(host, key, call, async |to, call| {
+                host.backends
+                    .send_request(&to, &context.request, call)
+                    .await
+            });
             match sent.await {
                 Ok(response) => {
                     named_limits::record_response(host, key, response.limit_per_s, sent_ms);
--- a/crates/yucca-serve/src/ports.rs
+++ b/crates/yucca-serve/src/ports.rs
@@ -10,6 +10,7 @@
 use prometheus_client::encoding::EncodeLabelValue;
 use serde_json::Value;
 use tokio::time::Instant;
+use yuccacove::reachability::Outcome;
 use yuccacove::response_check::ResponseFault;
 
 use crate::config::ServingConfig;
@@ -215,6 +216,8 @@
     pub id: Rc<str>,
     /// Address to connect to.
     pub address: SocketAddr,
+    /// Address of the host through which to connect; `None` to connect directly.
+    pub via: Option<SocketAddr>,
 }
 
 /// Handle of a KV cache that an engine holds for another engine to fetch.
@@ -261,6 +264,9 @@
 pub enum CallFault {
     /// No byte of the request was sent.
     NotSent(String),
+    /// No byte of the request was sent, because the host through which to connect did not take it. It says
+    /// nothing of the backend.
+    NotProxied(String),
     /// The backend states that it did not run the request.
     NotRun {
         /// HTTP status of its response.
@@ -297,11 +303,13 @@
     async fn chunk(&mut self) -> Option<Result<Bytes, String>>;
 }
 
-/// What a backend says of itself in a response, besides the response proper.
+/// What a call tells of a backend, besides the response proper.
 #[derive(Debug, Clone)]
 pub struct Notice {
     /// Id of the backend.
     pub from: Rc<str>,
+    /// Host through which the response came, as in [`Target::via`].
+    pub via: Option<SocketAddr>,
     /// Time of the response.
     pub received: Instant,
     /// What it says.
@@ -318,6 +326,8 @@
         /// That time, from the response on, in milliseconds.
         wait_ms: u64,
     },
+    /// Outcome of an attempt of this host to open a new connection.
+    Connection(Outcome),
 }
 
 /// State that an engine reports.
@@ -359,6 +369,19 @@
     pub expected_orders: u64,
 }
 
+/// Outcome of an attempt to open a connection to a backend.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Connectivity {
+    /// It was opened.
+    Opened,
+    /// It was refused, which means that the backend's process has ended, if there is a path to it.
+    Refused,
+    /// Nothing answered.
+    Silent,
+    /// The host between did not take it.
+    Unknown,
+}
+
 /// Client of the backends.
 #[expect(async_fn_in_trait, reason = "all users run on the host's one thread")]
 pub trait Backends: 'static {
@@ -390,11 +413,10 @@
     /// Orders an engine to change its phase.
     async fn order(&self, to: &Target, order: &PhaseOrder) -> Result<OrderReply, CallFault>;
 
-    /// Whether the backend refuses a new connection, which means that its process has ended. A
-    /// backend that cannot be reached does not refuse.
-    async fn refuses_connections(&self, to: &Target) -> bool;
+    /// Tries to open a new connection to the backend, and closes it again.
+    async fn probe(&self, to: &Target) -> Connectivity;
 
-    /// Returns and forgets the notices in responses since the last call.
+    /// Returns and forgets the notices since the last call.
     fn take_notices(&self) -> Vec<Notice>;
 
     /// Closes the idle connections to a backend.
--- a/crates/yucca-serve/src/prefill.rs
+++ b/crates/yucca-serve/src/prefill.rs
@@ -17,6 +17,7 @@
 use crate::named_limits;
 use crate::peers::{self, PrefillEnd};
 use crate::ports::{Backends, CallFault, KvCacheHandle};
+use crate::proxies;
 use crate::reply::Reply;
 use crate::serve::{Progress, RequestContext, Stage};
 
@@ -126,7 +127,9 @@
     let mut call = context.call();
     call.is_repeatable = true;
     call.prefix_source = prefix_source_address(context, choice);
-    let response = host.backends.prefill(&target, &context.request, call);
+    let response = proxies::call(host, key, call, async |to, call| {
+        host.backends.prefill(&to, &context.request, call).await
+    });
     let outcome = match timeout(Duration::from_millis(limit_ms), response).await {
         Ok(outcome) => outcome,
         Err(_) => {
--- /dev/null
+++ b/crates/yucca-serve/src/proxies.rs
@@ -0,0 +1,442 @@
+//! Calls to backends through other hosts, while this host has lost its own paths to them.
+//!
+//! [`yuccacove::reachability`] decides when that is. A call then goes through a tunnel of another host, which
+//! only passes on bytes: choice, limits, retries and what a failure means stay with this host. Orders to
+//! engines never go through another host, as each engine takes them from one machine.
+//!
+//! A host takes a tunnel only to a backend that it would use itself, and only while it reaches the
+//! service's backends. It never passes a tunnel on, so that there are no loops.
+
+use std::cell::{Cell, RefCell};
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+
+use http::StatusCode;
+use indexmap::IndexMap;
+use tokio::sync::Notify;
+use tokio::time::{Duration, Instant, sleep};
+use yucca_io::connections::BackendFault;
+use yucca_io::log;
+use yucca_io::log::field;
+use yucca_io::memory::MemoryGuard;
+use yucca_io::tunnel::{Gate, TUNNEL_BYTES};
+use yuccacove::event::Event;
+use yuccacove::memory_budget::Purpose;
+use yuccacove::reachability::{Outcome, Reachability};
+
+use crate::directory::BackendKey;
+use crate::host::Host;
+use crate::ports::{Backends, Call, CallFault, Connectivity, Target};
+
+/// Number of other hosts through which a call is tried.
+const MAX_TRIES: usize = 3;
+/// Number of these that must say that they do not reach a backend either before that is believed.
+const MIN_WITNESSES: usize = 2;
+/// Time for which a host that took no tunnel is left out.
+const HOST_PAUSE_MS: u64 = 500;
+/// Cost of a host in another availability zone, in tunnels in progress: bytes between zones are dear.
+const OTHER_ZONE_TUNNELS: usize = 4;
+/// Number of hosts that are drawn at random, of which the one with the fewest tunnels is chosen.
+const DRAWN_HOSTS: usize = 3;
+/// Interval at which a host that may be partitioned tries to connect to a backend.
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+/// Number of such attempts in a row while they succeed.
+const MAX_PROBES_IN_A_ROW: usize = 40;
+/// Time without a response after which a call may be on a connection that hangs.
+const OVERDUE: Duration = Duration::from_millis(700);
+/// Share of the descriptors of callers, as a divisor, that tunnels of other hosts may use. Each takes two.
+const DESCRIPTOR_SHARE_DIVISOR: usize = 4;
+
+/// A host as a way to the backends.
+#[derive(Debug, Default, Clone, Copy)]
+struct Proxy {
+    tunnels: usize,
+    paused_until_ms: u64,
+}
+
+/// What this host knows of its own paths to the backends, and of those through other hosts.
+#[derive(Debug, Default)]
+pub struct Paths {
+    /// Outcomes of connection attempts, by service.
+    services: RefCell<IndexMap<String, Reachability<BackendKey>>>,
+    /// Services whose backends this host has lost.
+    lost: RefCell<Vec<String>>,
+    /// Other hosts by address.
+    proxies: RefCell<IndexMap<SocketAddr, Proxy>>,
+    /// Number of tunnels of other hosts through this one.
+    taken: Cell<usize>,
+    /// Backends whose responses are overdue.
+    overdue: RefCell<Vec<BackendKey>>,
+    /// Notified when an attempt to connect has failed, or a call is overdue.
+    suspected: Notify,
+    /// Notified when the paths to the backends of a service were lost.
+    changed: Notify,
+}
+
+impl Paths {
+    /// Returns the number of tunnels of other hosts through this one.
+    pub fn taken(&self) -> usize {
+        self.taken.get()
+    }
+
+    /// Whether this host has lost its paths to the backends of a service.
+    pub fn is_partitioned(&self, service: &str, now_ms: u64) -> bool {
+        self.with(service, |paths| paths.is_partitioned(now_ms))
+    }
+
+    fn with(&self, service: &str, test: impl Fn(&Reachability<BackendKey>) -> bool) -> bool {
+        let services = self.services.borrow();
+        services.get(service).is_some_and(test)
+    }
+}
+
+/// Records the outcome of an attempt of this host to connect to a backend.
+pub(crate) fn record<B: Backends>(host: &Host<B>, key: BackendKey, outcome: Outcome) {
+    let now_ms = host.now_ms();
+    let service = host.directory.borrow().get(key).entry.service.clone();
+    let is_partitioned = {
+        let mut services = host.paths.services.borrow_mut();
+        let paths = services.entry(service.clone()).or_default();
+        paths.record(key, outcome, now_ms);
+        paths.is_partitioned(now_ms)
+    };
+    if outcome != Outcome::Opened {
+        host.paths.suspected.notify_one();
+    }
+    let mut lost = host.paths.lost.borrow_mut();
+    let was_partitioned = lost.contains(&service);
+    if is_partitioned == was_partitioned {
+        return;
+    }
+    lost.retain(|lost| *lost != service);
+    let fields = format!("service={} outcome={outcome:?}", field(&service));
+    if is_partitioned {
+        lost.push(service.clone());
+        log::write(Event::PathsLost, &fields);
+        // Those that do not hang now would hang when the partition has ended.
+        for key in host.directory.borrow().serving(&service, now_ms) {
+            host.backends.close_idle(&host.target(key));
+        }
+        host.paths.changed.notify_waiters();
+    } else {
+        log::write(Event::PathsFound, &fields);
+    }
+}
+
+/// A tunnel of this host through another one; dropping it ends its part of that host's load.
+struct OwnTunnel<'a, B> {
+    host: &'a Host<B>,
+    through: SocketAddr,
+}
+
+impl<'a, B> OwnTunnel<'a, B> {
+    fn begin(host: &'a Host<B>, through: SocketAddr) -> Self {
+        let mut proxies = host.paths.proxies.borrow_mut();
+        proxies.entry(through).or_default().tunnels += 1;
+        Self { host, through }
+    }
+}
+
+impl<B> Drop for OwnTunnel<'_, B> {
+    fn drop(&mut self) {
+        let mut proxies = self.host.paths.proxies.borrow_mut();
+        if let Some(proxy) = proxies.get_mut(&self.through) {
+            proxy.tunnels -= 1;
+        }
+    }
+}
+
+/// Chooses a host through which a call goes, other than those in `excluded`.
+fn choose<B>(host: &Host<B>, excluded: &[SocketAddr]) -> Option<SocketAddr> {
+    let now_ms = host.now_ms();
+    let proxies = host.paths.proxies.borrow();
+    let state = |address: &SocketAddr| proxies.get(address).copied().unwrap_or_default();
+    let mut usable = host.peers.addresses();
+    usable.retain(|(address, _)| {
+        !excluded.contains(address) && state(address).paused_until_ms <= now_ms
+    });
+    let cost = |address: &SocketAddr, zone: &str| {
+        let is_other_zone = *zone != *host.deployment.zone;
+        state(address).tunnels + usize::from(is_other_zone) * OTHER_ZONE_TUNNELS
+    };
+    let drawn = (0..DRAWN_HOSTS.min(usable.len())).map(|_| {
+        let at = host.draw() as usize % usable.len();
+        &usable[at]
+    });
+    let chosen = drawn.min_by_key(|(address, zone)| cost(address, zone));
+    chosen.map(|(address, _)| *address)
+}
+
+fn pause<B>(host: &Host<B>, proxy: SocketAddr) {
+    let until_ms = host.now_ms() + HOST_PAUSE_MS;
+    let mut proxies = host.paths.proxies.borrow_mut();
+    proxies.entry(proxy).or_default().paused_until_ms = until_ms;
+}
+
+/// Calls a backend: directly, or through another host while this one has lost its paths to the backends of the
+/// service. `send` makes one call; it is repeated only if no byte of the request was sent.
+///
+/// # Errors
+///
+/// Those of `send`, but for [`CallFault::NotProxied`].
+pub(crate) async fn call<B: Backends, T>(
+    host: &Host<B>,
+    key: BackendKey,
+    call: Call,
+    send: impl AsyncFn(Target, Call) -> Result<T, CallFault>,
+) -> Result<T, CallFault> {
+    let begun = Instant::now();
+    let service = host.directory.borrow().get(key).entry.service.clone();
+    let is_partitioned = || {
+        host.apply_notices();
+        host.paths.is_partitioned(&service, host.now_ms())
+    };
+    if !is_partitioned() {
+        let sent = send(host.target(key), call.clone());
+        let outcome = watched(host, key, &service, call.is_repeatable, sent).await;
+        if !matches!(outcome, Err(CallFault::NotSent(_))) || !is_partitioned() {
+            return outcome;
+        }
+    }
+    let mut excluded = Vec::new();
+    let mut unreachable = 0;
+    let mut cause = "no other host to call through".to_owned();
+    while excluded.len() < MAX_TRIES && unreachable < MIN_WITNESSES {
+        let Some(proxy) = choose(host, &excluded) else {
+            break;
+        };
+        excluded.push(proxy);
+        let _tunnel = OwnTunnel::begin(host, proxy);
+        let target = Target {
+            via: Some(proxy),
+            ..host.target(key)
+        };
+        let elapsed_ms = u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let call = Call {
+            left_ms: call.left_ms.saturating_sub(elapsed_ms).max(1),
+            ..call.clone()
+        };
+        match send(target, call).await {
+            Err(CallFault::NotProxied(fault)) => {
+                pause(host, proxy);
+                cause = fault;
+            }
+            Err(CallFault::NotSent(fault)) => {
+                unreachable += 1;
+                cause = fault;
+            }
+            outcome => {
+                host.metrics.proxied_calls.inc();
+                return outcome;
+            }
+        }
+    }
+    Err(CallFault::NotSent(cause))
+}
+
+/// Waits for a direct call. One that gets no response for a while has the path to its backend checked; one that may be
+/// repeated ends as broken when the paths turn out to be lost and nothing answers on them.
+async fn watched<B: Backends, T>(
+    host: &Host<B>,
+    key: BackendKey,
+    service: &str,
+    is_repeatable: bool,
+    sent: impl Future<Output = Result<T, CallFault>>,
+) -> Result<T, CallFault> {
+    let mut sent = std::pin::pin!(sent);
+    tokio::select! {
+        outcome = &mut sent => return outcome,
+        () = sleep(OVERDUE) => suspect(host, key),
+        () = until_silent(host, service), if is_repeatable => return Err(lost_path()),
+    }
+    tokio::select! {
+        outcome = &mut sent => outcome,
+        () = until_silent(host, service), if is_repeatable => Err(lost_path()),
+    }
+}
+
+fn lost_path() -> CallFault {
+    CallFault::Broken("this host has lost its paths to the back ends".to_owned())
+}
+
+/// Waits until the paths to the backends of a service are lost and nothing answers on them.
+async fn until_silent<B>(host: &Host<B>, service: &str) {
+    loop {
+        let changed = host.paths.changed.notified();
+        let now_ms = host.now_ms();
+        if host.paths.with(service, |paths| paths.is_silent(now_ms)) {
+            return;
+        }
+        changed.await;
+    }
+}
+
+/// Has the path to a backend checked, unless connections to backends of its service were opened lately.
+fn suspect<B>(host: &Host<B>, key: BackendKey) {
+    let now_ms = host.now_ms();
+    let service = host.directory.borrow().get(key).entry.service.clone();
+    if !host.paths.with(&service, |paths| paths.has_opened(now_ms)) {
+        host.paths.overdue.borrow_mut().push(key);
+        host.paths.suspected.notify_one();
+    }
+}
+
+/// Returns whether the process of a backend has ended, which its refusal of a connection shows. That a partitioned
+/// host's own connections are refused shows nothing: another host has to confirm it.
+pub(crate) async fn is_ended<B: Backends>(host: &Host<B>, key: BackendKey) -> bool {
+    let target = host.target(key);
+    if host.backends.probe(&target).await != Connectivity::Refused {
+        return false;
+    }
+    record(host, key, Outcome::Refused);
+    let mut excluded = Vec::new();
+    while let Some(proxy) = choose(host, &excluded).filter(|_| excluded.len() < MAX_TRIES) {
+        excluded.push(proxy);
+        let through = Target {
+            via: Some(proxy),
+            ..target.clone()
+        };
+        match host.backends.probe(&through).await {
+            Connectivity::Refused => return true,
+            Connectivity::Opened | Connectivity::Silent => return false,
+            Connectivity::Unknown => pause(host, proxy),
+        }
+    }
+    !host.paths.is_partitioned(
+        &host.directory.borrow().get(key).entry.service,
+        host.now_ms(),
+    )
+}
+
+/// Checks the paths to backends that may be lost, and whether lost ones are back, for as long as the process
+/// lives.
+pub async fn check<B: Backends>(host: Rc<Host<B>>) {
+    loop {
+        tokio::select! {
+            () = host.paths.suspected.notified() => {}
+            () = sleep(PROBE_INTERVAL) => {}
+        }
+        host.apply_notices();
+        let overdue = std::mem::take(&mut *host.paths.overdue.borrow_mut());
+        if let Some(key) = overdue.last().copied() {
+            probe(&host, key).await;
+        }
+        for service in suspected_services(&host) {
+            for _ in 0..MAX_PROBES_IN_A_ROW {
+                let now_ms = host.now_ms();
+                let is_suspected = host
+                    .paths
+                    .with(&service, |paths| paths.is_suspected(now_ms));
+                let Some(key) = untried(&host, &service).filter(|_| is_suspected) else {
+                    break;
+                };
+                if !probe(&host, key).await {
+                    break;
+                }
+            }
+        }
+    }
+}
+
+fn suspected_services<B>(host: &Host<B>) -> Vec<String> {
+    let now_ms = host.now_ms();
+    let services = host.paths.services.borrow();
+    let suspected = services
+        .iter()
+        .filter(|(_, paths)| paths.is_suspected(now_ms));
+    suspected.map(|(service, _)| service.clone()).collect()
+}
+
+/// Returns a backend of a service to which no connection was opened lately.
+fn untried<B>(host: &Host<B>, service: &str) -> Option<BackendKey> {
+    let now_ms = host.now_ms();
+    let mut keys = host.directory.borrow().serving(service, now_ms);
+    let services = host.paths.services.borrow();
+    if let Some(paths) = services.get(service) {
+        keys.retain(|key| !paths.is_opened(key, now_ms));
+    }
+    let at = host.draw() as usize % keys.len().max(1);
+    keys.get(at).copied()
+}
+
+/// Tries to connect to a backend, and returns whether that succeeds.
+async fn probe<B: Backends>(host: &Host<B>, key: BackendKey) -> bool {
+    let outcome = match host.backends.probe(&host.target(key)).await {
+        Connectivity::Opened => Outcome::Opened,
+        Connectivity::Refused => Outcome::Refused,
+        Connectivity::Silent | Connectivity::Unknown => Outcome::Silent,
+    };
+    record(host, key, outcome);
+    outcome == Outcome::Opened
+}
+
+/// Decides which tunnels of other hosts this host takes.
+#[derive(Debug)]
+pub struct TunnelGate<B>(pub Rc<Host<B>>);
+
+/// A tunnel of another host through this one.
+#[derive(Debug)]
+pub struct TakenTunnel<B> {
+    host: Rc<Host<B>>,
+    _memory: MemoryGuard,
+}
+
+impl<B> Drop for TakenTunnel<B> {
+    fn drop(&mut self) {
+        let taken = &self.host.paths.taken;
+        taken.set(taken.get() - 1);
+    }
+}
+
+impl<B: Backends> Gate for TunnelGate<B> {
+    type Permit = TakenTunnel<B>;
+
+    fn admits(&self, from: IpAddr) -> bool {
+        let peers = self.0.peers.addresses();
+        peers.iter().any(|(address, _)| address.ip() == from)
+    }
+
+    fn permit(&self, backend: SocketAddr) -> Result<TakenTunnel<B>, StatusCode> {
+        let host = &self.0;
+        host.apply_notices();
+        let now_ms = host.now_ms();
+        let found = host.directory.borrow().find_usable(backend, now_ms);
+        let Some((key, service)) = found else {
+            return Err(StatusCode::FORBIDDEN);
+        };
+        let is_paused = host.directory.borrow().get(key).pause_left_ms(now_ms) > 0;
+        let most = host.deployment.caller_descriptors / (2 * DESCRIPTOR_SHARE_DIVISOR);
+        let mut memory = host.memory.guard(Purpose::Connection);
+        let is_refused = is_paused
+            || host.is_stopping()
+            || host.paths.is_partitioned(&service, now_ms)
+            || host.paths.taken.get() >= most
+            || !memory.grow(TUNNEL_BYTES);
+        if is_refused {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        host.paths.taken.set(host.paths.taken.get() + 1);
+        host.metrics.taken_tunnels.inc();
+        Ok(TakenTunnel {
+            host: Rc::clone(host),
+            _memory: memory,
+        })
+    }
+
+    fn record(&self, backend: SocketAddr, result: Result<(), BackendFault>) {
+        let host = &self.0;
+        let found = host.directory.borrow().find_usable(backend, host.now_ms());
+        if let Some((key, _)) = found {
+            record(host, key, outcome_of(result));
+        }
+    }
+}
+
+/// Returns the outcome of an attempt to connect.
+pub fn outcome_of(result: Result<(), BackendFault>) -> Outcome {
+    match result {
+        Ok(()) => Outcome::Opened,
+        Err(BackendFault::Refused) => Outcome::Refused,
+        Err(BackendFault::Silent) => Outcome::Silent,
+    }
+}
--- a/crates/yucca-serve/src/roles.rs
+++ b/crates/yucca-serve/src/roles.rs
@@ -339,7 +339,9 @@
             let (keys, members) = pool(&host, &service.name, &mut pending);
             let slots = service.slots;
             let is_recovering = losses.is_recovering(&host, &service.name);
-            if !is_settled && !is_recovering {
+            // Its own partition tells this host nothing of the engines, and orders go through no other host.
+            let is_partitioned = host.paths.is_partitioned(&service.name, host.now_ms());
+            if is_partitioned || (!is_settled && !is_recovering) {
                 continue;
             }
             let scaled = host.pending_engines.borrow().get(&service.name).copied();
@@ -546,7 +548,9 @@
     let until_ms = match reply {
         Ok(OrderReply::Accepted) => now_ms + switch_ms + REGISTRATION_SLACK_MS,
         Ok(OrderReply::Holds | OrderReply::Busy | OrderReply::Fenced | OrderReply::Refused(_))
-        | Err(CallFault::NotSent(_) | CallFault::NotRun { .. }) => now_ms + REFUSAL_PAUSE_MS,
+        | Err(CallFault::NotSent(_) | CallFault::NotProxied(_) | CallFault::NotRun { .. }) => {
+            now_ms + REFUSAL_PAUSE_MS
+        }
         Err(CallFault::Broken(_) | CallFault::TimedOut | CallFault::Invalid(_)) => {
             now_ms + UNKNOWN_ORDER_MS
         }
--- a/crates/yucca-serve/src/scaling.rs
+++ b/crates/yucca-serve/src/scaling.rs
@@ -589,7 +589,8 @@
     let outcome = match reply {
         Ok(DutyReply::Done) => Outcome::Done,
         Ok(DutyReply::Conflict) => Outcome::Conflict,
-        Ok(DutyReply::Refused(_)) | Err(CallFault::NotSent(_) | CallFault::NotRun { .. }) => {
+        Ok(DutyReply::Refused(_))
+        | Err(CallFault::NotSent(_) | CallFault::NotProxied(_) | CallFault::NotRun { .. }) => {
             Outcome::Refused
         }
         Err(CallFault::Broken(_) | CallFault::TimedOut | CallFault::Invalid(_)) => Outcome::Unknown,
--- a/crates/yucca-serve/src/serve.rs
+++ b/crates/yucca-serve/src/serve.rs
@@ -440,7 +440,9 @@
             let health = &mut backend.health;
             match fault {
                 // With status 421, the address belongs to another backend now.
-                CallFault::NotSent(_) | CallFault::NotRun { status: 421 } => {
+                CallFault::NotSent(_)
+                | CallFault::NotProxied(_)
+                | CallFault::NotRun { status: 421 } => {
                     health.record_unreachable(now_ms);
                 }
                 CallFault::NotRun { .. } => backend.record_refusal(now_ms),
@@ -449,12 +451,14 @@
                 }
             }
         }
-        let is_unsent = matches!(fault, CallFault::NotSent(_));
+        let is_unsent = matches!(fault, CallFault::NotSent(_) | CallFault::NotProxied(_));
         let may_have_run_before = state_before == RunState::MayHaveRun;
         let may_have_run = match (stage, fault) {
-            (Stage::Read, _) | (Stage::Run, CallFault::NotSent(_) | CallFault::NotRun { .. }) => {
-                may_have_run_before
-            }
+            (Stage::Read, _)
+            | (
+                Stage::Run,
+                CallFault::NotSent(_) | CallFault::NotProxied(_) | CallFault::NotRun { .. },
+            ) => may_have_run_before,
             (Stage::Run, CallFault::Broken(_) | CallFault::TimedOut | CallFault::Invalid(_)) => {
                 true
             }
--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -32,6 +32,7 @@
 use crate::plain::MAX_BUFFERED_BYTES;
 use crate::ports::{BackendResponse, Backends, CallFault, ResponseBody};
 use crate::prefill::{KvCacheGuard, PrefillGuard, prefill_if_remote, prefix_source_address};
+use crate::proxies;
 use crate::reply::{Interrupted, Reply, ReplyData};
 use crate::serve::{Progress, RequestContext, RunState, Stage};
 use crate::stream_versions::{self, KnownVersion};
@@ -443,10 +444,12 @@
     context.set_may_have_run(true);
     let started_ms = host.now_ms();
     let has_prompt = call.kv_cache.is_some();
-    let response = host
-        .backends
-        .send_request(&target, &context.request, call)
-        .await?;
+    let response = proxies::call(host, key, call, async |to, call| {
+        host.backends
+            .send_request(&to, &context.request, call)
+            .await
+    })
+    .await?;
     named_limits::record_response(host, key, response.limit_per_s, started_ms);
     let now_ms = host.now_ms();
     let took_ms = (now_ms - started_ms) as f64;
--- a/crates/yucca-serve/tests/common/mod.rs
+++ b/crates/yucca-serve/tests/common/mod.rs
@@ -28,13 +28,14 @@
 use yucca_serve::host::{Deployment, Host};
 use yucca_serve::peers::{follow_hosts, register};
 use yucca_serve::ports::{
-    BackendResponse, Backends, Call, CallFault, EngineReport, Freshness, Kind, KvCacheHandle,
-    Notice, Object, ObjectStore, Objects, OrderReply, PhaseOrder, Prefilled, ResponseBody,
-    StoreFault, Target,
+    BackendResponse, Backends, Call, CallFault, Connectivity, EngineReport, Freshness, Kind,
+    KvCacheHandle, Notice, NoticeContent, Object, ObjectStore, Objects, OrderReply, PhaseOrder,
+    Prefilled, ResponseBody, StoreFault, Target,
 };
 use yucca_serve::request::{Prompt, PromptPart, Request};
 use yucca_serve::roles::{LEASE_NAME, RoleLease, maintain_lease};
 use yuccacove::prompt_placement::Phase;
+use yuccacove::reachability::Outcome;
 
 /// Runs a test on one thread, with a clock that advances to the next timer whenever all tasks are
 /// idle.
@@ -93,9 +94,11 @@
     pub urgency: u8,
 }
 
+/// Returns what a tunnel of another host to a backend meets; `None` if the tunnel is taken and reaches it.
+type TunnelRule = Rc<dyn Fn(&Target) -> Option<Connectivity>>;
+
 /// Engines that all hosts of a test share. An engine crashes a moment after it begins to answer a
 /// request whose prompt contains the deadly part, unless it is the last part.
-#[derive(Debug)]
 pub struct EngineFleet {
     /// Id of the deadly part, if there is one.
     pub deadly_part: Cell<Option<u64>>,
@@ -115,10 +118,18 @@
     pub crashes: RefCell<Vec<Instant>>,
     /// Times at which requests with the deadly part were sent to be run.
     pub deadly_calls: RefCell<Vec<Instant>>,
+    /// Whether the host at an address takes tunnels to a backend; `None` if it does and reaches it.
+    pub gates: RefCell<HashMap<SocketAddr, TunnelRule>>,
     /// Time of the last crash of each engine.
     crashed: RefCell<HashMap<String, Instant>>,
 }
 
+impl std::fmt::Debug for EngineFleet {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("EngineFleet").finish_non_exhaustive()
+    }
+}
+
 impl EngineFleet {
     /// Time that an engine takes to restart.
     pub const RESTART: Duration = Duration::from_millis(3_000);
@@ -137,6 +148,7 @@
             crashes_prefill: Cell::default(),
             limits_per_s: RefCell::default(),
             arrivals: RefCell::default(),
+            gates: RefCell::default(),
             crashes: RefCell::default(),
             deadly_calls: RefCell::default(),
             crashed: RefCell::default(),
@@ -271,6 +283,8 @@
     pub notices: RefCell<Vec<Notice>>,
     /// Backends to which this host has no path: its connections are reset and refused.
     pub cut_off: RefCell<HashSet<String>>,
+    /// Whether new connections to these hang instead.
+    pub cut_off_hangs: Cell<bool>,
 }
 
 impl FakeBackends {
@@ -299,7 +313,59 @@
     }
 
     fn is_cut_off(&self, to: &Target) -> bool {
-        self.cut_off.borrow().contains(&*to.id)
+        to.via.is_none() && self.cut_off.borrow().contains(&*to.id)
+    }
+
+    /// Returns the fault of a call that opens a new connection, if that fails.
+    async fn connect(&self, to: &Target) -> Result<(), CallFault> {
+        let connectivity = self.connectivity(to).await;
+        if to.via.is_none() {
+            let outcome = match connectivity {
+                Connectivity::Opened => Outcome::Opened,
+                Connectivity::Refused => Outcome::Refused,
+                Connectivity::Silent | Connectivity::Unknown => Outcome::Silent,
+            };
+            self.notices.borrow_mut().push(Notice {
+                from: Rc::clone(&to.id),
+                via: None,
+                received: Instant::now(),
+                content: NoticeContent::Connection(outcome),
+            });
+        }
+        match connectivity {
+            Connectivity::Opened => Ok(()),
+            Connectivity::Refused | Connectivity::Silent => {
+                Err(CallFault::NotSent(format!("{connectivity:?}")))
+            }
+            Connectivity::Unknown => Err(CallFault::NotProxied("not taken".to_owned())),
+        }
+    }
+
+    async fn connectivity(&self, to: &Target) -> Connectivity {
+        let fleet = self.fleet.borrow().clone();
+        let is_down = fleet.as_ref().is_some_and(|fleet| fleet.is_down(&to.id));
+        let gate = to.via.zip(fleet);
+        if let Some((via, fleet)) = gate {
+            let gate = fleet.gates.borrow().get(&via).cloned();
+            let Some(gate) = gate else {
+                return Connectivity::Unknown;
+            };
+            wait_ms(1).await;
+            return gate(to).unwrap_or(if is_down {
+                Connectivity::Refused
+            } else {
+                Connectivity::Opened
+            });
+        }
+        if self.is_cut_off(to) && self.cut_off_hangs.get() {
+            wait_ms(400).await;
+            return Connectivity::Silent;
+        }
+        if is_down || self.is_cut_off(to) {
+            Connectivity::Refused
+        } else {
+            Connectivity::Opened
+        }
     }
 
     async fn wait_until_cut_off(&self, to: &Target) {
@@ -396,17 +462,17 @@
     ) -> Result<BackendResponse<FakeBody>, CallFault> {
         self.record(to, &call, false);
         self.requests.borrow_mut().push(request.clone());
+        let fleet = self.fleet.borrow().clone();
+        if fleet.is_some() {
+            wait_ms(1).await;
+            self.connect(to).await?;
+        }
         let mut step = self
             .scripts
             .borrow_mut()
             .get_mut(&*to.id)
             .and_then(VecDeque::pop_front);
-        let fleet = self.fleet.borrow().clone();
         if let Some(fleet) = &fleet {
-            if fleet.is_down(&to.id) || self.is_cut_off(to) {
-                wait_ms(1).await;
-                return Err(CallFault::NotSent("refused".to_owned()));
-            }
             fleet.record_arrival(&to.id);
             if request.prompt.is_some() {
                 fleet.begin_generation(&to.id, request).await?;
@@ -499,10 +565,9 @@
         Ok(self.order_reply.get().unwrap_or(OrderReply::Accepted))
     }
 
-    async fn refuses_connections(&self, to: &Target) -> bool {
-        let fleet = self.fleet.borrow().clone();
+    async fn probe(&self, to: &Target) -> Connectivity {
         wait_ms(1).await;
-        self.is_cut_off(to) || fleet.is_some_and(|fleet| fleet.is_down(&to.id))
+        self.connectivity(to).await
     }
 
     fn take_notices(&self) -> Vec<Notice> {
--- a/crates/yucca-serve/tests/common/site.rs
+++ b/crates/yucca-serve/tests/common/site.rs
@@ -9,11 +9,14 @@
 use serde_json::json;
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::Instant;
+use yucca_io::connections::BackendFault;
+use yucca_io::tunnel::Gate;
 use yucca_serve::config::RouteKind;
 use yucca_serve::follow::StoreHealth;
 use yucca_serve::host::{Deployment, Host};
 use yucca_serve::peers::{follow_hosts, outgoing_datagrams, receive};
-use yucca_serve::ports::Kind;
+use yucca_serve::ports::{Connectivity, Kind, Target};
+use yucca_serve::proxies::{self, TunnelGate};
 use yucca_serve::request::{Prompt, PromptPart, Request};
 use yucca_serve::serve::serve;
 use yuccacove::prompt_placement::Phase;
@@ -36,8 +39,32 @@
     address: SocketAddr,
     /// Whether it is cut off from the other hosts.
     pub is_isolated: Cell<bool>,
-    /// Follows the list of hosts.
-    task: JoinHandle<()>,
+    /// Tasks of the host.
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Member {
+    /// Returns what a tunnel of another host to a backend meets here; `None` if it is taken and reaches it.
+    fn take_tunnel(&self, gate: &TunnelGate<FakeBackends>, to: &Target) -> Option<Connectivity> {
+        let backends = &self.host.backends;
+        if self.is_isolated.get() || gate.permit(to.address).is_err() {
+            return Some(Connectivity::Unknown);
+        }
+        let is_cut = backends.cut_off.borrow().contains(&*to.id);
+        let (fault, connectivity) = if backends.cut_off_hangs.get() {
+            (BackendFault::Silent, Connectivity::Silent)
+        } else {
+            (BackendFault::Refused, Connectivity::Refused)
+        };
+        gate.record(to.address, if is_cut { Err(fault) } else { Ok(()) });
+        is_cut.then_some(connectivity)
+    }
+
+    /// Cuts the host off from all backends, or ends that.
+    pub fn cut_off_from(&self, backends: u8, is_cut: bool) {
+        let ids = (0..backends).map(engine_id).filter(|_| is_cut);
+        *self.host.backends.cut_off.borrow_mut() = ids.collect();
+    }
 }
 
 /// Hosts that exchange datagrams, of which the share `loss` is lost, and the engines that they
@@ -131,13 +158,20 @@
             Rc::clone(&self.store),
             Rc::new(StoreHealth::default()),
         ));
+        let checks = spawn_local(proxies::check(Rc::clone(&host)));
         let member = Rc::new(Member {
             host,
             number,
             address: address(number).parse().expect("an address"),
             is_isolated: Cell::new(false),
-            task,
+            tasks: vec![task, checks],
         });
+        let gate = TunnelGate(Rc::clone(&member.host));
+        let taker = Rc::clone(&member);
+        let rule = move |to: &Target| taker.take_tunnel(&gate, to);
+        let mut gates = self.fleet.gates.borrow_mut();
+        gates.insert(member.address, Rc::new(rule));
+        drop(gates);
         for engine in 0..self.backends {
             self.list_engine(&member.host, engine);
         }
@@ -146,7 +180,9 @@
 
     /// Replaces a host by a new process that knows nothing.
     pub fn restart(&self, at: usize) {
-        self.members.borrow()[at].task.abort();
+        for task in &self.members.borrow()[at].tasks {
+            task.abort();
+        }
         let member = self.start(at);
         self.members.borrow_mut()[at] = member;
     }
--- a/crates/yucca-serve/tests/serve.rs
+++ b/crates/yucca-serve/tests/serve.rs
@@ -563,6 +563,7 @@
         let announce = |id: &str| {
             host.backends.notices.borrow_mut().push(Notice {
                 from: Rc::from(id),
+                via: None,
                 received: Instant::now(),
                 content: NoticeContent::Leaving,
             });
@@ -596,6 +597,7 @@
         let pause = |id: &str, wait_ms: u64| {
             host.backends.notices.borrow_mut().push(Notice {
                 from: Rc::from(id),
+                via: None,
                 received: Instant::now(),
                 content: NoticeContent::RetryAfter { wait_ms },
             });
--- a/src/event.rs
+++ b/src/event.rs
@@ -61,6 +61,8 @@
     CrashObserved = 310, "crash_observed", "A backend crashed while it ran a request.";
     BackendLimited = 311, "backend_limited", "A backend names another limit for all hosts together, or none any more.";
     EngineSpeed = 312, "engine_speed", "An engine became much slower than usual, or is no longer.";
+    PathsLost = 313, "paths_lost", "This host cannot connect to the backends of a service; calls go through other hosts.";
+    PathsFound = 314, "paths_found", "This host can connect to the backends of a service again.";
     StoreLost = 401, "store_lost", "The object API does not answer.";
     StoreBack = 402, "store_back", "The object API answers again.";
     LeaseTaken = 403, "lease_taken", "This host acquired a lease.";
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod prefix;
 pub mod prompt_placement;
 pub mod rank;
+pub mod reachability;
 pub mod recency;
 pub mod response_check;
 pub mod retry;
