Bear two seconds of silence on connections to back ends

What callers would see: an answer that is cut because a sound engine fell silent for a second or so.

Cause: the user timeout of 1.5 s also ends the wait for answers to keep-alive probes, whatever their number, so that the two probes a second apart never got their 3 s. Data that was sent waited for 1.5 s as well.

Change: the user timeout follows from the probes: 3 s, and 2 s for the store's connections, whose calls have time limits of their own. A connection that hangs is noticed 1.5 s later; a host's own partition is noticed by new connections.

--- a/crates/yucca-io/src/connections.rs
+++ b/crates/yucca-io/src/connections.rs
@@ -27,8 +27,6 @@
 const MAX_BUFFER_BYTES: usize = 32 * 1_024;
 /// Maximum number of idle connections kept for each backend.
 const MAX_IDLE_PER_BACKEND: usize = 64;
-/// Time that sent data may stay unacknowledged before the kernel closes the connection.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Idle time before the first TCP keep-alive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keep-alive probes before the kernel closes the connection. More than one, so that
@@ -222,7 +220,10 @@
 /// Configures the kernel to close the connection if the peer disappears without closing it.
 fn set_dead_peer_detection(stream: &TcpStream, probes: u32) -> std::io::Result<()> {
     let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
+    // Without it sent data may stay unacknowledged for minutes. It also ends the wait for answers to probes, whatever
+    // their number, so that it must not be shorter than that.
+    let user_timeout = KEEPALIVE_INTERVAL * (1 + probes);
+    socket.set_tcp_user_timeout(Some(user_timeout))?;
     socket.set_tcp_keepalive(
         &TcpKeepalive::new()
             .with_time(KEEPALIVE_INTERVAL)
