Do not wait for a probe that hangs on a partitioned host

What callers saw: nothing yet. A request whose connection broke waited up to 400 ms for the probe that tells a crash from a broken path, although the host knew that nothing answers it. Found by reading.

Change: such a host probes nothing; another host's word is not asked for either, as no connection was refused.

--- a/crates/yucca-serve/src/proxies.rs
+++ b/crates/yucca-serve/src/proxies.rs
@@ -34,9 +34,9 @@
 const MIN_WITNESSES: usize = 2;
 /// Time for which a host that took no tunnel is left out.
 const HOST_PAUSE_MS: u64 = 500;
-/// Cost of a host in another availability zone, in tunnels in progress: bytes between zones are dear.
-const OTHER_ZONE_TUNNELS: usize = 4;
-/// Number of hosts that are drawn at random, of which the one with the fewest tunnels is chosen.
+/// Cost of a host in another availability zone, in calls in progress: bytes between zones are dear.
+const OTHER_ZONE_CALLS: usize = 4;
+/// Number of hosts that are drawn at random, of which the one with the fewest calls is chosen.
 const DRAWN_HOSTS: usize = 3;
 /// Interval at which a host that may be partitioned tries to connect to a backend.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
@@ -50,7 +50,8 @@
 /// A host as a way to the backends.
 #[derive(Debug, Default, Clone, Copy)]
 struct Proxy {
-    tunnels: usize,
+    /// Calls of this host through it.
+    calls: usize,
     paused_until_ms: u64,
 }
 
@@ -123,25 +124,25 @@
     }
 }
 
-/// A tunnel of this host through another one; dropping it ends its part of that host's load.
-struct OwnTunnel<'a, B> {
+/// A call through another host, until the head of its response. Dropping it removes it from that host's load.
+struct OwnCall<'a, B> {
     host: &'a Host<B>,
     through: SocketAddr,
 }
 
-impl<'a, B> OwnTunnel<'a, B> {
+impl<'a, B> OwnCall<'a, B> {
     fn begin(host: &'a Host<B>, through: SocketAddr) -> Self {
         let mut proxies = host.paths.proxies.borrow_mut();
-        proxies.entry(through).or_default().tunnels += 1;
+        proxies.entry(through).or_default().calls += 1;
         Self { host, through }
     }
 }
 
-impl<B> Drop for OwnTunnel<'_, B> {
+impl<B> Drop for OwnCall<'_, B> {
     fn drop(&mut self) {
         let mut proxies = self.host.paths.proxies.borrow_mut();
         if let Some(proxy) = proxies.get_mut(&self.through) {
-            proxy.tunnels -= 1;
+            proxy.calls -= 1;
         }
     }
 }
@@ -157,7 +158,7 @@
     });
     let cost = |address: &SocketAddr, zone: &str| {
         let is_other_zone = *zone != *host.deployment.zone;
-        state(address).tunnels + usize::from(is_other_zone) * OTHER_ZONE_TUNNELS
+        state(address).calls + usize::from(is_other_zone) * OTHER_ZONE_CALLS
     };
     let drawn = (0..DRAWN_HOSTS.min(usable.len())).map(|_| {
         let at = host.draw() as usize % usable.len();
@@ -206,7 +207,7 @@
             break;
         };
         excluded.push(proxy);
-        let _tunnel = OwnTunnel::begin(host, proxy);
+        let _own = OwnCall::begin(host, proxy);
         let target = Target {
             via: Some(proxy),
             ..host.target(key)
@@ -284,6 +285,11 @@
 /// Returns whether the process of a backend has ended, which its refusal of a connection shows. That a partitioned
 /// host's own connections are refused shows nothing: another host has to confirm it.
 pub(crate) async fn is_ended<B: Backends>(host: &Host<B>, key: BackendKey) -> bool {
+    let service = host.directory.borrow().get(key).entry.service.clone();
+    let now_ms = host.now_ms();
+    if host.paths.with(&service, |paths| paths.is_silent(now_ms)) {
+        return false;
+    }
     let target = host.target(key);
     if host.backends.probe(&target).await != Connectivity::Refused {
         return false;
@@ -302,10 +308,7 @@
             Connectivity::Unknown => pause(host, proxy),
         }
     }
-    !host.paths.is_partitioned(
-        &host.directory.borrow().get(key).entry.service,
-        host.now_ms(),
-    )
+    !host.paths.is_partitioned(&service, host.now_ms())
 }
 
 /// Checks the paths to backends that may be lost, and whether lost ones are back, for as long as the process
