--- a/crates/yucca-serve/src/stream_journal.rs
+++ b/crates/yucca-serve/src/stream_journal.rs
@@ -14,7 +14,7 @@
 
 use crate::host::Host;
 use crate::ports::{Freshness, Kind, Object, ObjectStore, StoreFault};
-use crate::stream_versions::{self, lifetime_ms};
+use crate::stream_versions::{self, ListedVersions, lifetime_ms};
 
 /// Interval between two writes. Streams that began within it before a loss of all hosts are lost, and many
 /// streams that run at a moment began a few hundred milliseconds before.
@@ -91,7 +91,7 @@
 async fn list_versions<B, S: ObjectStore>(host: &Host<B>, store: &S) -> Result<(), StoreFault> {
     let at_ms = host.now_ms();
     let listing = store.list(Kind::BackEnds, Freshness::Latest).await?;
-    let mut versions: IndexMap<String, Vec<VersionId>> = IndexMap::new();
+    let mut versions = ListedVersions::new();
     let present = listing.objects.iter().filter(|object| !object.is_removed);
     for entry in present.filter_map(|object| store.backend(object)) {
         let version = stream_versions::version_id(&entry.software);
--- a/crates/yucca-serve/src/stream_versions.rs
+++ b/crates/yucca-serve/src/stream_versions.rs
@@ -89,6 +89,9 @@
 /// The only version of each service within the lifetime of a stream, by the name of the service.
 pub type OnlyVersions = IndexMap<String, VersionId>;
 
+/// The versions of the engines that the store lists, by the name of the service.
+pub(crate) type ListedVersions = IndexMap<String, Vec<VersionId>>;
+
 /// What this host knows of the versions of streams, and messages to send.
 #[derive(Debug, Default)]
 pub struct HostStreams {
@@ -113,7 +116,7 @@
     /// Notified when it was read.
     pub(crate) journal_read: Notify,
     /// Versions of the engines of each service as the store last listed them, with the time of the call.
-    listed: RefCell<Option<(u64, IndexMap<String, Vec<VersionId>>)>>,
+    listed: RefCell<Option<(u64, ListedVersions)>>,
 }
 
 impl HostStreams {
@@ -131,7 +134,7 @@
     }
 
     /// Sets the versions of the engines of each service as the store listed them in a call at `at_ms`.
-    pub(crate) fn set_listed(&self, at_ms: u64, versions: IndexMap<String, Vec<VersionId>>) {
+    pub(crate) fn set_listed(&self, at_ms: u64, versions: ListedVersions) {
         *self.listed.borrow_mut() = Some((at_ms, versions));
     }
 
