Take crashes of most backends for no partition

Cause: a host took the paths to a service for lost when more of its backends were unreachable than reachable. A deadly request that had crashed two of three made all hosts believe that: they took no tunnels, so that nobody confirmed a crash and none was blamed on the request, and the third backend was not called.

Change: one backend that is reached refutes a partition. A refused connection counts as a crash if this host can connect to any other backend, or another host is refused as well. Calls that no other host takes go directly, unless nothing answers.

--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -465,6 +465,13 @@
         self.select(service, |backend| backend.is_serving(now_ms))
     }
 
+    /// Returns the backends of all services that serve.
+    pub fn all_serving(&self, now_ms: u64) -> Vec<BackendKey> {
+        let all = self.by_id.values().copied();
+        all.filter(|key| self.get(*key).is_serving(now_ms))
+            .collect()
+    }
+
     /// Returns the engines of `service` that leave at a known time, and have not ended yet.
     pub fn taken_back(&self, service: &str, now_ms: u64) -> Vec<BackendKey> {
         self.select(service, |backend| backend.is_taken_back(now_ms))
--- a/crates/yucca-serve/src/proxies.rs
+++ b/crates/yucca-serve/src/proxies.rs
@@ -38,10 +38,10 @@
 const OTHER_ZONE_CALLS: usize = 4;
 /// Number of hosts that are drawn at random, of which the one with the fewest calls is chosen.
 const DRAWN_HOSTS: usize = 3;
+/// Number of other backends that are tried before a refused connection is asked about elsewhere.
+const CONTROL_PROBES: usize = 2;
 /// Interval at which a host that may be partitioned tries to connect to a backend.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
-/// Number of such attempts in a row while they succeed.
-const MAX_PROBES_IN_A_ROW: usize = 40;
 /// Time without a response after which a call may be on a connection that hangs.
 const OVERDUE: Duration = Duration::from_millis(700);
 /// Share of the descriptors of callers, as a divisor, that tunnels of other hosts may use. Each takes two.
@@ -212,12 +212,7 @@
             via: Some(proxy),
             ..host.target(key)
         };
-        let elapsed_ms = u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX);
-        let call = Call {
-            left_ms: call.left_ms.saturating_sub(elapsed_ms).max(1),
-            ..call.clone()
-        };
-        match send(target, call).await {
+        match send(target, remaining(&call, begun)).await {
             Err(CallFault::NotProxied(fault)) => {
                 pause(host, proxy);
                 cause = fault;
@@ -232,9 +227,26 @@
             }
         }
     }
+    let is_silent = host
+        .paths
+        .with(&service, |paths| paths.is_silent(host.now_ms()));
+    if unreachable == 0 && !is_silent {
+        // The other hosts are no better off, as when most backends have crashed.
+        let call = remaining(&call, begun);
+        return send(host.target(key), call).await;
+    }
     Err(CallFault::NotSent(cause))
 }
 
+/// Returns the parameters of a call that begins now instead of at `begun`.
+fn remaining(call: &Call, begun: Instant) -> Call {
+    let elapsed_ms = u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX);
+    Call {
+        left_ms: call.left_ms.saturating_sub(elapsed_ms).max(1),
+        ..call.clone()
+    }
+}
+
 /// Waits for a direct call. One that gets no response for a while has the path to its backend checked; one that may be
 /// repeated ends as broken when the paths turn out to be lost and nothing answers on them.
 async fn watched<B: Backends, T>(
@@ -283,24 +295,45 @@
 }
 
 /// Returns whether the process of a backend has ended, which its refusal of a connection shows. That a partitioned
-/// host's own connections are refused shows nothing: another host has to confirm it.
+/// host's own connections are refused shows nothing: this host must reach another backend, or another
+/// host must be refused as well.
 pub(crate) async fn is_ended<B: Backends>(host: &Host<B>, key: BackendKey) -> bool {
     let service = host.directory.borrow().get(key).entry.service.clone();
     let now_ms = host.now_ms();
     if host.paths.with(&service, |paths| paths.is_silent(now_ms)) {
         return false;
     }
-    let target = host.target(key);
-    if host.backends.probe(&target).await != Connectivity::Refused {
+    if host.backends.probe(&host.target(key)).await != Connectivity::Refused {
         return false;
     }
     record(host, key, Outcome::Refused);
+    reaches_another(host, key).await || is_refused_elsewhere(host, key).await
+}
+
+/// Whether this host can connect to a backend other than `key`, of any service.
+async fn reaches_another<B: Backends>(host: &Host<B>, key: BackendKey) -> bool {
+    for _ in 0..CONTROL_PROBES {
+        let now_ms = host.now_ms();
+        let mut others = host.directory.borrow().all_serving(now_ms);
+        others.retain(|other| *other != key);
+        let at = host.draw() as usize % others.len().max(1);
+        let Some(other) = others.get(at).copied() else {
+            return false;
+        };
+        if probe(host, other).await {
+            return true;
+        }
+    }
+    false
+}
+
+async fn is_refused_elsewhere<B: Backends>(host: &Host<B>, key: BackendKey) -> bool {
     let mut excluded = Vec::new();
     while let Some(proxy) = choose(host, &excluded).filter(|_| excluded.len() < MAX_TRIES) {
         excluded.push(proxy);
         let through = Target {
             via: Some(proxy),
-            ..target.clone()
+            ..host.target(key)
         };
         match host.backends.probe(&through).await {
             Connectivity::Refused => return true,
@@ -308,7 +341,7 @@
             Connectivity::Unknown => pause(host, proxy),
         }
     }
-    !host.paths.is_partitioned(&service, host.now_ms())
+    false
 }
 
 /// Checks the paths to backends that may be lost, and whether lost ones are back, for as long as the process
@@ -324,21 +357,28 @@
         if let Some(key) = overdue.last().copied() {
             probe(&host, key).await;
         }
+        let mut has_failed = false;
         for service in suspected_services(&host) {
-            for _ in 0..MAX_PROBES_IN_A_ROW {
-                let now_ms = host.now_ms();
-                let is_suspected = host
-                    .paths
-                    .with(&service, |paths| paths.is_suspected(now_ms));
-                let Some(key) = untried(&host, &service).filter(|_| is_suspected) else {
-                    break;
-                };
-                if !probe(&host, key).await {
-                    break;
-                }
-            }
+            has_failed |= !reaches_any(&host, &service).await;
+        }
+        // A refused connection fails at once, and so would the next one.
+        if has_failed {
+            sleep(PROBE_INTERVAL).await;
+        }
+    }
+}
+
+/// Whether this host can connect to one of a few backends of a service.
+async fn reaches_any<B: Backends>(host: &Host<B>, service: &str) -> bool {
+    for _ in 0..MIN_WITNESSES {
+        let Some(key) = untried(host, service) else {
+            return false;
+        };
+        if probe(host, key).await {
+            return true;
         }
     }
+    false
 }
 
 fn suspected_services<B>(host: &Host<B>) -> Vec<String> {
