Break off calls only once a partition is confirmed

What callers would see: streams and safe requests that wait for their first byte end as broken and are sent again, because two engines went dark at the same moment. Not seen; found by reading.

Cause: the failures of two connection attempts, and nothing else since, counted at once as a partition in which open connections hang.

Change: calls that may be repeated end 0.5 s later, and only if no back end was reached meanwhile: attempts to reach others are made at once. Idle connections are left to the kernel's keep-alive instead of being closed.

--- a/crates/yucca-serve/src/proxies.rs
+++ b/crates/yucca-serve/src/proxies.rs
@@ -44,6 +44,9 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 /// Time without a response after which a call may be on a connection that hangs.
 const OVERDUE: Duration = Duration::from_millis(700);
+/// Time after which a partition counts as confirmed: two backends that went dark at once look like one until another
+/// is reached.
+const CONFIRMATION: Duration = Duration::from_millis(500);
 /// Share of the descriptors of callers, as a divisor, that tunnels of other hosts may use. Each takes two.
 const DESCRIPTOR_SHARE_DIVISOR: usize = 4;
 
@@ -114,10 +117,6 @@
     if is_partitioned {
         lost.push(service.clone());
         log::write(Event::PathsLost, &fields);
-        // Those that do not hang now would hang when the partition has ended.
-        for key in host.directory.borrow().serving(&service, now_ms) {
-            host.backends.close_idle(&host.target(key));
-        }
         host.paths.changed.notify_waiters();
     } else {
         log::write(Event::PathsFound, &fields);
@@ -272,15 +271,22 @@
     CallFault::Broken("this host has lost its paths to the back ends".to_owned())
 }
 
-/// Waits until the paths to the backends of a service are lost and nothing answers on them.
+/// Waits until the paths to the backends of a service are lost, nothing answers on them, and attempts to reach others
+/// have not refuted that.
 async fn until_silent<B>(host: &Host<B>, service: &str) {
+    let is_silent = || {
+        let now_ms = host.now_ms();
+        host.paths.with(service, |paths| paths.is_silent(now_ms))
+    };
     loop {
         let changed = host.paths.changed.notified();
-        let now_ms = host.now_ms();
-        if host.paths.with(service, |paths| paths.is_silent(now_ms)) {
+        if !is_silent() {
+            changed.await;
+        }
+        sleep(CONFIRMATION).await;
+        if is_silent() {
             return;
         }
-        changed.await;
     }
 }
 
