Close a tunnel's connection when its backend resets during a request

What callers would see: a host that takes tunnels runs out of descriptors, and refuses connections. Not seen; found when the change was read again.

Cause: the task that forwards a request waited for ever when a write to the backend failed, so that it outlived the tunnel and kept both of its connections.

Evidence: tunnel_descriptors_after_resets, 20 tunnels whose backend resets while a body of 4 MB arrives: 14 descriptors before and 54 after on the code before.

Change: the task waits until the response has ended.

--- a/crates/yucca-io/src/tunnel.rs
+++ b/crates/yucca-io/src/tunnel.rs
@@ -295,16 +295,20 @@
     response
 }
 
-/// Forwards what the other host sends to the backend. The tunnel ends with it: the other host's request has
-/// ended or was cancelled. `_is_open` is dropped then.
-async fn forward(mut body: Incoming, mut backend: OwnedWriteHalf, _is_open: oneshot::Sender<()>) {
+/// Forwards what the other host sends to the backend. The tunnel ends with it, as `is_open` is dropped: the other
+/// host's request has ended or was cancelled.
+async fn forward(
+    mut body: Incoming,
+    mut backend: OwnedWriteHalf,
+    mut is_open: oneshot::Sender<()>,
+) {
     while let Some(Ok(frame)) = body.frame().await {
         let Ok(bytes) = frame.into_data() else {
             continue;
         };
         if backend.write_all(&bytes).await.is_err() {
             // The backend may have answered before it has read everything.
-            std::future::pending::<()>().await;
+            return is_open.closed().await;
         }
     }
 }
