Notice a partition where a service has a single backend

At a host that has lost its paths to all backends, no request for a service with one server is served, although the other hosts reach it.

Cause: a partition was told from a crash by a second unreachable backend of the same service. A service with one backend has no second one. Class: evidence that was looked for in too small a set.

Ruled out: a single unreachable backend as a partition. Its crash would look like one, and calls that may be repeated would end 0.5 s after a sound server fell silent.

Change: unreachable backends of all services count, as long as none of their service was reached since. If a suspected service has one backend, a backend of another service is tried at once. A service is refuted by its own backends only, as before, so that the loss of one service's backends is noticed too.

After: at least 0.9 are served at each host from 3 s on, hanging and refused, safe and unsafe.

--- a/crates/yucca-serve/src/proxies.rs
+++ b/crates/yucca-serve/src/proxies.rs
@@ -61,8 +61,8 @@
 /// What this host knows of its own paths to the backends, and of those through other hosts.
 #[derive(Debug, Default)]
 pub struct Paths {
-    /// Outcomes of connection attempts, by service.
-    services: RefCell<IndexMap<String, Reachability<BackendKey>>>,
+    /// Outcomes of connection attempts.
+    outcomes: RefCell<Reachability<BackendKey>>,
     /// Services whose backends this host has lost.
     lost: RefCell<Vec<String>>,
     /// Other hosts by address.
@@ -85,41 +85,37 @@
 
     /// Whether this host has lost its paths to the backends of a service.
     pub fn is_partitioned(&self, service: &str, now_ms: u64) -> bool {
-        self.with(service, |paths| paths.is_partitioned(now_ms))
+        self.outcomes.borrow().is_partitioned(service, now_ms)
     }
 
-    fn with(&self, service: &str, test: impl Fn(&Reachability<BackendKey>) -> bool) -> bool {
-        let services = self.services.borrow();
-        services.get(service).is_some_and(test)
+    /// Whether it has, and nothing answers on them.
+    fn is_silent(&self, service: &str, now_ms: u64) -> bool {
+        self.outcomes.borrow().is_silent(service, now_ms)
     }
 }
 
 /// Records the outcome of an attempt of this host to connect to a backend.
 pub(crate) fn record<B: Backends>(host: &Host<B>, key: BackendKey, outcome: Outcome) {
     let now_ms = host.now_ms();
-    let service = host.directory.borrow().get(key).entry.service.clone();
-    let is_partitioned = {
-        let mut services = host.paths.services.borrow_mut();
-        let paths = services.entry(service.clone()).or_default();
-        paths.record(key, outcome, now_ms);
-        paths.is_partitioned(now_ms)
-    };
+    let directory = host.directory.borrow();
+    let service = &directory.get(key).entry.service;
+    let mut outcomes = host.paths.outcomes.borrow_mut();
+    outcomes.record(service, key, outcome, now_ms);
     if outcome != Outcome::Opened {
         host.paths.suspected.notify_one();
     }
-    let mut lost = host.paths.lost.borrow_mut();
-    let was_partitioned = lost.contains(&service);
-    if is_partitioned == was_partitioned {
-        return;
+    let partitioned: Vec<String> = outcomes.partitioned(now_ms).map(str::to_owned).collect();
+    let lost = host.paths.lost.replace(partitioned.clone());
+    let log = |event, service: &str| {
+        let fields = format!("service={} outcome={outcome:?}", field(service));
+        log::write(event, &fields);
+    };
+    for service in lost.iter().filter(|lost| !partitioned.contains(lost)) {
+        log(Event::PathsFound, service);
     }
-    lost.retain(|lost| *lost != service);
-    let fields = format!("service={} outcome={outcome:?}", field(&service));
-    if is_partitioned {
-        lost.push(service.clone());
-        log::write(Event::PathsLost, &fields);
+    for service in partitioned.iter().filter(|other| !lost.contains(other)) {
+        log(Event::PathsLost, service);
         host.paths.changed.notify_waiters();
-    } else {
-        log::write(Event::PathsFound, &fields);
     }
 }
 
@@ -226,9 +222,7 @@
             }
         }
     }
-    let is_silent = host
-        .paths
-        .with(&service, |paths| paths.is_silent(host.now_ms()));
+    let is_silent = host.paths.is_silent(&service, host.now_ms());
     if unreachable == 0 && !is_silent {
         // The other hosts are no better off, as when most backends have crashed.
         let call = remaining(&call, begun);
@@ -274,10 +268,7 @@
 /// Waits until the paths to the backends of a service are lost, nothing answers on them, and attempts to reach others
 /// have not refuted that.
 async fn until_silent<B>(host: &Host<B>, service: &str) {
-    let is_silent = || {
-        let now_ms = host.now_ms();
-        host.paths.with(service, |paths| paths.is_silent(now_ms))
-    };
+    let is_silent = || host.paths.is_silent(service, host.now_ms());
     loop {
         let changed = host.paths.changed.notified();
         if !is_silent() {
@@ -294,7 +285,7 @@
 fn suspect<B>(host: &Host<B>, key: BackendKey) {
     let now_ms = host.now_ms();
     let service = host.directory.borrow().get(key).entry.service.clone();
-    if !host.paths.with(&service, |paths| paths.has_opened(now_ms)) {
+    if !host.paths.outcomes.borrow().has_opened(&service, now_ms) {
         host.paths.overdue.borrow_mut().push(key);
         host.paths.suspected.notify_one();
     }
@@ -306,7 +297,7 @@
 pub(crate) async fn is_ended<B: Backends>(host: &Host<B>, key: BackendKey) -> bool {
     let service = host.directory.borrow().get(key).entry.service.clone();
     let now_ms = host.now_ms();
-    if host.paths.with(&service, |paths| paths.is_silent(now_ms)) {
+    if host.paths.is_silent(&service, now_ms) {
         return false;
     }
     if host.backends.probe(&host.target(key)).await != Connectivity::Refused {
@@ -365,7 +356,15 @@
         }
         let mut has_failed = false;
         for service in suspected_services(&host) {
-            has_failed |= !reaches_any(&host, &service).await;
+            let is_reached = reaches_any(&host, &service).await;
+            has_failed |= !is_reached;
+            let serving = host.directory.borrow().serving(&service, host.now_ms());
+            if let [only] = *serving
+                && !is_reached
+            {
+                // Those of other services tell whether it has crashed.
+                reaches_another(&host, only).await;
+            }
         }
         // A refused connection fails at once, and so would the next one.
         if has_failed {
@@ -389,21 +388,16 @@
 
 fn suspected_services<B>(host: &Host<B>) -> Vec<String> {
     let now_ms = host.now_ms();
-    let services = host.paths.services.borrow();
-    let suspected = services
-        .iter()
-        .filter(|(_, paths)| paths.is_suspected(now_ms));
-    suspected.map(|(service, _)| service.clone()).collect()
+    let outcomes = host.paths.outcomes.borrow();
+    outcomes.suspected(now_ms).map(str::to_owned).collect()
 }
 
 /// Returns a backend of a service to which no connection was opened lately.
 fn untried<B>(host: &Host<B>, service: &str) -> Option<BackendKey> {
     let now_ms = host.now_ms();
     let mut keys = host.directory.borrow().serving(service, now_ms);
-    let services = host.paths.services.borrow();
-    if let Some(paths) = services.get(service) {
-        keys.retain(|key| !paths.is_opened(key, now_ms));
-    }
+    let outcomes = host.paths.outcomes.borrow();
+    keys.retain(|key| !outcomes.is_opened(service, key, now_ms));
     let at = host.draw() as usize % keys.len().max(1);
     keys.get(at).copied()
 }
--- a/crates/yucca-serve/tests/common/site.rs
+++ b/crates/yucca-serve/tests/common/site.rs
@@ -114,6 +114,20 @@
         Self::spawn_kind(hosts, loss, kind, SERVERS)
     }
 
+    /// Starts hosts and the only server of a plain service, beside engines of another service that get no requests.
+    pub fn spawn_lone_server(hosts: usize, kind: RouteKind) -> Rc<Self> {
+        let site = Self::spawn_kind(hosts, 0.0, kind, 1);
+        for member in site.members.borrow().iter() {
+            let host = &member.host;
+            for engine in 1..ENGINES {
+                let entry = entry("model", engine, Phase::Decode);
+                let mut directory = host.directory.borrow_mut();
+                directory.apply_entry(&engine_id(engine), 1, entry, host.now_ms());
+            }
+        }
+        site
+    }
+
     fn spawn_kind(hosts: usize, loss: f64, kind: RouteKind, backends: u8) -> Rc<Self> {
         let store = FakeStore::new();
         for number in 0..hosts {
--- a/crates/yucca-serve/tests/partition.rs
+++ b/crates/yucca-serve/tests/partition.rs
@@ -164,6 +164,70 @@
     }
 }
 
+/// Guards against hosts that cannot tell a partition from a crash where a service has a single backend, and turn away
+/// all of its callers.
+#[test]
+fn partition_noticed_with_one_server() {
+    for (kind, hangs) in [
+        (RouteKind::Idempotent, true),
+        (RouteKind::Idempotent, false),
+        (RouteKind::AtMostOnce, true),
+        (RouteKind::AtMostOnce, false),
+    ] {
+        run_virtual(async {
+            let case = format!("{kind:?}, hangs {hangs}");
+            let site = Site::spawn_lone_server(7, kind);
+            wait_ms(1_000).await;
+            let tries = send_to_all(&site, kind);
+            wait_ms(2_000).await;
+            let members = site.members.borrow().clone();
+            for member in &members[..4] {
+                member.host.backends.cut_off_hangs.set(hangs);
+                member.cut_off_from(ENGINES, true);
+            }
+            wait_ms(CONTACT_MS).await;
+            let from = Instant::now();
+            wait_ms(6_000).await;
+            for (at, tries) in tries.iter().enumerate() {
+                let share = tries.served_share(from);
+                let statuses = tries.statuses(from);
+                assert!(
+                    share >= 0.9,
+                    "{case}: host {at} served {share}, {statuses:?}"
+                );
+                assert!(!tries.has_status(422), "{case}: blamed for a crash");
+            }
+            for member in &members[..4] {
+                member.cut_off_from(ENGINES, false);
+            }
+            wait_ms(RETURN_MS).await;
+            let proxied = |member: &Rc<Member>| member.host.metrics.proxied_calls.get();
+            let before: Vec<u64> = members.iter().map(proxied).collect();
+            wait_ms(2_000).await;
+            let after: Vec<u64> = members.iter().map(proxied).collect();
+            assert_eq!(before, after, "{case}: still through others");
+        });
+    }
+}
+
+/// Guards against calls through other hosts, and against blame that is lost, when the only server of a service has
+/// crashed while the engines of another one serve.
+#[test]
+fn partition_not_suspected_after_crash_of_one_server() {
+    run_virtual(async {
+        let site = Site::spawn_lone_server(7, RouteKind::Idempotent);
+        wait_ms(1_000).await;
+        let _tries = send_to_all(&site, RouteKind::Idempotent);
+        wait_ms(1_000).await;
+        site.fleet.crash(&engine_id(0));
+        wait_ms(2_500).await;
+        let members = site.members.borrow().clone();
+        for member in &members {
+            assert_eq!(member.host.metrics.proxied_calls.get(), 0);
+        }
+    });
+}
+
 /// Guards against hosts that take an outage of the backends for their own partition, and against a partition of all
 /// hosts that lasts after its end.
 #[test]
