Play a partition of a whole availability zone of 30 hosts

A host prefers the other hosts of its zone as ways to the backends, and these may all be partitioned too.

No fault was found; the test plays 30 hosts.

--- a/crates/yucca-serve/tests/common/site.rs
+++ b/crates/yucca-serve/tests/common/site.rs
@@ -78,6 +78,8 @@
     pub members: RefCell<Vec<Rc<Member>>>,
     loss: f64,
     kind: RouteKind,
+    /// Number of availability zones.
+    zones: usize,
     /// Number of engines, or of servers of a plain service.
     backends: u8,
     draws: Cell<u64>,
@@ -128,10 +130,19 @@
         site
     }
 
+    /// Starts hosts of several availability zones, in turn, and the servers of a plain service.
+    pub fn spawn_zones(hosts: usize, zones: usize, kind: RouteKind) -> Rc<Self> {
+        Self::spawn_all(hosts, zones, 0.0, kind, SERVERS)
+    }
+
     fn spawn_kind(hosts: usize, loss: f64, kind: RouteKind, backends: u8) -> Rc<Self> {
+        Self::spawn_all(hosts, 1, loss, kind, backends)
+    }
+
+    fn spawn_all(hosts: usize, zones: usize, loss: f64, kind: RouteKind, backends: u8) -> Rc<Self> {
         let store = FakeStore::new();
         for number in 0..hosts {
-            let value = json!({ "address": address(number), "zone": "a" });
+            let value = json!({ "address": address(number), "zone": zone(number, zones) });
             store.put(Kind::Hosts, &format!("host.entry-{number}"), Some(value));
         }
         let site = Rc::new(Self {
@@ -140,6 +151,7 @@
             members: RefCell::default(),
             loss,
             kind,
+            zones,
             backends,
             draws: Cell::new(1),
             incarnations: RefCell::new(vec![1; usize::from(backends)]),
@@ -161,6 +173,7 @@
         let config = super::serving_host(super::route(self.kind, 2)).config();
         let own = Deployment {
             name: format!("entry-{number}"),
+            zone: zone(number, self.zones),
             ..deployment()
         };
         let seed = self.draw(u64::MAX);
@@ -393,6 +406,11 @@
     format!("10.9.{}.{}:7000", number / 250, number % 250 + 1)
 }
 
+/// Availability zone of a host. The backends are in zone "a".
+fn zone(number: usize, zones: usize) -> String {
+    ["a", "b", "c"][number % zones].to_owned()
+}
+
 /// Id of an engine.
 pub fn engine_id(engine: u8) -> String {
     format!("gen-{engine}")
--- a/crates/yucca-serve/tests/partition.rs
+++ b/crates/yucca-serve/tests/partition.rs
@@ -69,9 +69,15 @@
 }
 
 /// Sends requests to one host for as long as the test runs.
-async fn send(site: Rc<Site>, member: Rc<Member>, kind: RouteKind, tries: Rc<Tries>) {
+async fn send(
+    site: Rc<Site>,
+    member: Rc<Member>,
+    kind: RouteKind,
+    interval_ms: u64,
+    tries: Rc<Tries>,
+) {
     for number in 0.. {
-        wait_ms(REQUEST_INTERVAL_MS).await;
+        wait_ms(interval_ms).await;
         let id = format!("{}-{number}", member.number);
         let request = match kind {
             RouteKind::Stream { .. } => {
@@ -107,10 +113,22 @@
 
 /// Sends requests to all hosts. Returns the tries at each.
 fn send_to_all(site: &Rc<Site>, kind: RouteKind) -> Vec<Rc<Tries>> {
+    send_to_all_each(site, kind, REQUEST_INTERVAL_MS)
+}
+
+/// As [`send_to_all`], with another interval between two requests to a host.
+fn send_to_all_each(site: &Rc<Site>, kind: RouteKind, interval_ms: u64) -> Vec<Rc<Tries>> {
     let members = site.members.borrow().clone();
     let tries = members.into_iter().map(|member| {
         let tries = Rc::new(Tries::default());
-        spawn_local(send(Rc::clone(site), member, kind, Rc::clone(&tries)));
+        let sent = send(
+            Rc::clone(site),
+            member,
+            kind,
+            interval_ms,
+            Rc::clone(&tries),
+        );
+        spawn_local(sent);
         tries
     });
     tries.collect()
@@ -164,6 +182,32 @@
     }
 }
 
+/// Guards against calls that are lost among the other hosts of an availability zone, of which all have lost their paths.
+#[test]
+fn partition_of_zone_serves_through_others() {
+    for (interval_ms, hangs) in [(60, true), (400, false)] {
+        run_virtual(async {
+            let case = format!("a request each {interval_ms} ms, hangs {hangs}");
+            let site = Site::spawn_zones(30, 3, RouteKind::AtMostOnce);
+            wait_ms(1_000).await;
+            let tries = send_to_all_each(&site, RouteKind::AtMostOnce, interval_ms);
+            wait_ms(2_000).await;
+            let members = site.members.borrow().clone();
+            for member in members.iter().step_by(3) {
+                member.host.backends.cut_off_hangs.set(hangs);
+                member.cut_off_from(SERVERS, true);
+            }
+            wait_ms(CONTACT_MS).await;
+            let from = Instant::now();
+            wait_ms(6_000).await;
+            let shares = tries.iter().map(|tries| tries.served_share(from));
+            let shares: Vec<f64> = shares.collect();
+            let lowest = shares.iter().copied().fold(1.0, f64::min);
+            assert!(lowest >= 0.9, "{case}: {lowest}");
+        });
+    }
+}
+
 /// Guards against hosts that cannot tell a partition from a crash where a service has a single backend, and turn away
 /// all of its callers.
 #[test]
