--- a/crates/yucca-serve/tests/partition.rs
+++ b/crates/yucca-serve/tests/partition.rs
@@ -254,8 +254,8 @@
     }
 }
 
-/// Guards against calls through other hosts, and against blame that is lost, when the only server of a service has
-/// crashed while the engines of another one serve.
+/// Guards against calls through other hosts when the only server of a service has crashed while the engines of another
+/// one serve.
 #[test]
 fn partition_not_suspected_after_crash_of_one_server() {
     run_virtual(async {
