Name the outcomes of a service apart from a single outcome, and say which is meant

Read as a newcomer: Outcome and Outcomes differ by a letter, and two comments could be understood only with the lines above them.

--- a/crates/yucca-serve/src/proxies.rs
+++ b/crates/yucca-serve/src/proxies.rs
@@ -61,7 +61,7 @@
 /// What this host knows of its own paths to the backends, and of those through other hosts.
 #[derive(Debug, Default)]
 pub struct Paths {
-    /// Outcomes of connection attempts.
+    /// Outcomes of this host's attempts to connect to backends.
     outcomes: RefCell<Reachability<BackendKey>>,
     /// Services whose backends this host has lost.
     lost: RefCell<Vec<String>>,
@@ -88,7 +88,7 @@
         self.outcomes.borrow().is_partitioned(service, now_ms)
     }
 
-    /// Whether it has, and nothing answers on them.
+    /// Whether this host has lost its paths to the backends of a service, and attempts to connect to them time out.
     fn is_silent(&self, service: &str, now_ms: u64) -> bool {
         self.outcomes.borrow().is_silent(service, now_ms)
     }
@@ -362,7 +362,7 @@
             if let [only] = *serving
                 && !is_reached
             {
-                // Those of other services tell whether it has crashed.
+                // Backends of other services tell a crash of this one from a partition.
                 reaches_another(&host, only).await;
             }
         }
--- a/src/reachability.rs
+++ b/src/reachability.rs
@@ -39,15 +39,15 @@
     Silent,
 }
 
-/// The latest outcomes at the backends, by service.
+/// Latest outcomes of attempts to connect to backends, by service.
 #[derive(Debug)]
 pub struct Reachability<K> {
-    services: IndexMap<String, Outcomes<K>>,
+    services: IndexMap<String, ServiceOutcomes<K>>,
 }
 
-/// The latest outcomes at the backends of one service.
+/// Latest outcomes of attempts to connect to the backends of one service.
 #[derive(Debug)]
-struct Outcomes<K> {
+struct ServiceOutcomes<K> {
     /// Backends that were opened, with the time.
     opened: IndexMap<K, u64>,
     /// Backends that were not reached since any was opened, with the time of the latest attempt.
@@ -62,7 +62,7 @@
     }
 }
 
-impl<K> Default for Outcomes<K> {
+impl<K> Default for ServiceOutcomes<K> {
     fn default() -> Self {
         Self {
             opened: IndexMap::new(),
@@ -139,7 +139,7 @@
     }
 }
 
-impl<K: Hash + Eq> Outcomes<K> {
+impl<K: Hash + Eq> ServiceOutcomes<K> {
     fn record(&mut self, backend: K, outcome: Outcome, now_ms: u64) {
         self.opened.retain(|_, at_ms| is_valid(*at_ms, now_ms));
         if outcome == Outcome::Opened {
