Let the test of a crashed lone server fail

partition_not_suspected_after_crash_of_one_server could not fail: it counted calls that another host had brought to an answer, and the only server is dead. With one unreachable backend taken for a partition (MIN_UNREACHABLE of 1) it passed.

Change: it also checks every 100 ms that no host takes itself for partitioned and that none takes a tunnel; the count of calls stays. With that mutation it fails now, and without it passes.

--- a/crates/yucca-serve/tests/partition.rs
+++ b/crates/yucca-serve/tests/partition.rs
@@ -248,10 +248,15 @@
         let _tries = send_to_all(&site, RouteKind::Idempotent);
         wait_ms(1_000).await;
         site.fleet.crash(&engine_id(0));
-        wait_ms(2_500).await;
         let members = site.members.borrow().clone();
-        for member in &members {
-            assert_eq!(member.host.metrics.proxied_calls.get(), 0);
+        for _ in 0..25 {
+            wait_ms(100).await;
+            for member in &members {
+                let host = &member.host;
+                assert!(!host.paths.is_partitioned("desk", host.now_ms()));
+                assert_eq!(host.metrics.taken_tunnels.get(), 0);
+                assert_eq!(host.metrics.proxied_calls.get(), 0);
+            }
         }
     });
 }
