Show streams that go on at another software version after a time-out is lowered

ORDER is broken: a configuration that lowers a route's time-out shortens the assumed lifetime of streams that began before it. Their versions are forgotten, and a caller that takes such a stream up again is sent to an engine of another software version.

--- /dev/null
+++ b/review/standins-3/host.rs
@@ -0,0 +1,93 @@
+//! A host's process, started with the command of the deploy file, and its settings.
+
+use std::fs::File;
+use std::io::BufReader;
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::http::read_message;
+
+/// Command of the role in the deploy file.
+const COMMAND: &str = "target/release/yucca-platform";
+
+pub struct Host {
+    pub callers: SocketAddr,
+    readiness: SocketAddr,
+    child: Child,
+}
+
+impl Host {
+    /// Starts a host; its settings and its log go into `folder`.
+    pub fn start(name: &str, store: SocketAddr, folder: &Path) -> Self {
+        let [callers, readiness, metrics, peers] = [(); 4].map(|()| free_address());
+        let text = format!(
+            "[host]\nname = {name}\nzone = a\ncallers = {callers}\nreadiness = {readiness}\n\
+             metrics = {metrics}\npeer_ip = 127.0.0.1\npeer_ports = {},{}\nmemory_mb = 260\n\
+             max_fds = 4100\n\n[store]\naddress = {store}\n\n[bounds]\nretry_ratio = 0.2\n\
+             retry_slack = 54\ndrain_ms = 2000\nconfig_ms = 2000\ngrace_s = 8\nlease_ms = 3000\n\
+             heartbeat_ms = 1200\n\n[control_api]\n",
+            peers.port(),
+            peers.port()
+        );
+        let settings = folder.join(format!("{name}.ini"));
+        std::fs::write(&settings, text).expect("a settings file");
+        let log = File::create(folder.join(format!("{name}.log"))).expect("a log");
+        let child = Command::new(COMMAND)
+            .env("YUCCACOVE_SETTINGS", &settings)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("the program of the deploy file");
+        Self {
+            callers,
+            readiness,
+            child,
+        }
+    }
+
+    /// Waits until the host says that it is ready.
+    pub fn wait_ready(&self) -> bool {
+        let begun = Instant::now();
+        while begun.elapsed() < Duration::from_secs(15) {
+            if self.is_ready() {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        false
+    }
+
+    pub fn is_ready(&self) -> bool {
+        let Ok(mut stream) = TcpStream::connect(self.readiness) else {
+            return false;
+        };
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
+        let request = b"GET /readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        if std::io::Write::write_all(&mut stream, request).is_err() {
+            return false;
+        }
+        read_message(&mut BufReader::new(stream)).is_some_and(|m| m.status() == 200)
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns a loopback address whose port is free for TCP and UDP.
+pub fn free_address() -> SocketAddr {
+    loop {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        if UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
