Show streams that lack events while memory for bodies is in use

ORDER is broken: events that were received while there was no memory for them are dropped, and the stream is resumed after them. The caller gets a complete answer with a gap.

--- a/review/standins-3/engine.rs
+++ b/review/standins-3/engine.rs
@@ -20,6 +20,14 @@
     is_stopped: AtomicBool,
     connections: Mutex<Vec<TcpStream>>,
     pub runs: AtomicU64,
+    /// Whether streams come with neither a length nor chunks and end with their connection.
+    pub is_unframed: AtomicBool,
+    /// Size that events are filled up to.
+    pub event_bytes: AtomicU64,
+    /// Pause between two events; 0 for one that follows from the length of the stream.
+    pub pause_ms: AtomicU64,
+    /// Size of a plain answer; 0 for a short one.
+    pub answer_bytes: AtomicU64,
     record: Arc<Record>,
 }
 
@@ -44,6 +52,10 @@
             is_stopped: AtomicBool::new(false),
             connections: Mutex::default(),
             runs: AtomicU64::new(0),
+            is_unframed: AtomicBool::new(false),
+            event_bytes: AtomicU64::new(0),
+            pause_ms: AtomicU64::new(0),
+            answer_bytes: AtomicU64::new(0),
             record: Arc::clone(record),
         });
         let serving = Arc::clone(&engine);
@@ -137,7 +149,18 @@
                 self.runs.fetch_add(1, Ordering::SeqCst);
                 self.record.line(&format!("engine {} runs {id}", self.id));
                 let headers = format!("{echo}X-Yuccacove-Response-Seal: s.{}.{id}\r\n", self.id);
-                respond(stream, "200 OK", &headers, &format!("done {id}"))
+                let text = format!("done {id}");
+                let length = (self.answer_bytes.load(Ordering::SeqCst) as usize).max(text.len());
+                let head = format!("HTTP/1.1 200 OK\r\n{headers}Content-Length: {length}\r\n\r\n");
+                let mut left = length - text.len();
+                let block = [b'.'; 16 * 1_024];
+                let mut is_open = stream.write_all((head + &text).as_bytes()).is_ok();
+                while is_open && left > 0 {
+                    let part = left.min(block.len());
+                    is_open = stream.write_all(&block[..part]).is_ok();
+                    left -= part;
+                }
+                is_open
             }
         }
     }
@@ -147,7 +170,14 @@
         let tokens = request.header("x-yuccacove-token-count").unwrap_or("");
         let count = tokens.split_once(',').and_then(|(_, n)| n.parse().ok()).unwrap_or(1);
         let last = request.header("last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0);
-        let pause = Duration::from_millis(if count >= 60 { 100 } else { 40 });
+        let pause_ms = match self.pause_ms.load(Ordering::SeqCst) {
+            0 if count >= 60 => 100,
+            0 => 40,
+            pause_ms => pause_ms,
+        };
+        let pause = Duration::from_millis(pause_ms);
+        let is_unframed = self.is_unframed.load(Ordering::SeqCst);
+        let length = self.event_bytes.load(Ordering::SeqCst) as usize;
         self.runs.fetch_add(1, Ordering::SeqCst);
         if count >= 60 || last > 0 {
             self.record.line(&format!(
@@ -160,23 +190,28 @@
         }
         let head = format!(
             "HTTP/1.1 200 OK\r\n{echo}X-Yuccacove-Response-Seal: s.{}.{id}\r\n\
-             X-Yuccacove-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n\
-             Transfer-Encoding: chunked\r\n\r\n",
-            self.id
+             X-Yuccacove-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n{}\r\n",
+            self.id,
+            if is_unframed { "Connection: close\r\n" } else { "Transfer-Encoding: chunked\r\n" }
         );
         thread::sleep(Duration::from_millis(20));
         if stream.write_all(head.as_bytes()).is_err() {
             return false;
         }
         for event in last + 1..=count {
-            let text = format!("id: {event}\ndata: {} {event}\n\n", self.version);
-            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+            let text = format!("id: {event}\ndata: {} {event}", self.version);
+            let text = format!("{text:.<length$}\n\n");
+            let chunk = match is_unframed {
+                true => text,
+                false => format!("{:x}\r\n{text}\r\n", text.len()),
+            };
             if self.has_stopped() || stream.write_all(chunk.as_bytes()).is_err() {
                 return false;
             }
             thread::sleep(pause);
         }
-        stream.write_all(b"0\r\n\r\n").is_ok()
+        // A stream without chunks ends with its connection.
+        !is_unframed && stream.write_all(b"0\r\n\r\n").is_ok()
     }
 }
 
--- a/review/standins-3/host.rs
+++ b/review/standins-3/host.rs
@@ -22,13 +22,24 @@
 impl Host {
     /// Starts a host; its settings and its log go into `folder`.
     pub fn start(name: &str, store: SocketAddr, folder: &Path) -> Self {
+        Self::start_with(name, store, folder, 260, "")
+    }
+
+    /// As [`Host::start`], on a machine with `memory_mb`, and with further lines of the section `bounds`.
+    pub fn start_with(
+        name: &str,
+        store: SocketAddr,
+        folder: &Path,
+        memory_mb: u32,
+        bounds: &str,
+    ) -> Self {
         let [callers, readiness, metrics, peers] = [(); 4].map(|()| free_address());
         let text = format!(
             "[host]\nname = {name}\nzone = a\ncallers = {callers}\nreadiness = {readiness}\n\
-             metrics = {metrics}\npeer_ip = 127.0.0.1\npeer_ports = {},{}\nmemory_mb = 260\n\
+             metrics = {metrics}\npeer_ip = 127.0.0.1\npeer_ports = {},{}\nmemory_mb = {memory_mb}\n\
              max_fds = 4100\n\n[store]\naddress = {store}\n\n[bounds]\nretry_ratio = 0.2\n\
              retry_slack = 54\ndrain_ms = 2000\nconfig_ms = 2000\ngrace_s = 8\nlease_ms = 3000\n\
-             heartbeat_ms = 1200\n\n[control_api]\n",
+             heartbeat_ms = 1200\n{bounds}\n[control_api]\n",
             peers.port(),
             peers.port()
         );
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -8,7 +8,10 @@
 mod host;
 mod http;
 mod json;
+mod link;
 mod record;
+mod revoked;
+mod slow;
 mod store;
 mod versions;
 
@@ -49,6 +52,8 @@
     };
     let outcome = match case.as_str() {
         "timeout-lowered" => versions::timeout_lowered(&setting),
+        "slow-readers" => slow::slow_readers(&setting),
+        "revoked-key" => revoked::revoked_key(&setting),
         "restart-in-place" => versions::restart_in_place(&setting),
         other => Outcome::CouldNotRun(format!("no case {other}")),
     };
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -24,6 +24,16 @@
     /// Each change: its revision, the kind, and the event as text.
     events: Vec<(u64, String, String)>,
     is_down: bool,
+    /// Number of restores so far.
+    restores: u64,
+    /// Revision up to which the store has no history.
+    history_from: u64,
+}
+
+/// A copy of the store's objects.
+pub struct Copy {
+    revision: u64,
+    objects: BTreeMap<(String, String), Object>,
 }
 
 /// A store that serves on a loopback address.
@@ -60,6 +70,26 @@
         self.changed.notify_all();
     }
 
+    /// Returns a copy of the objects.
+    pub fn copy(&self) -> Copy {
+        let state = self.state.lock().expect("state");
+        Copy {
+            revision: state.revision,
+            objects: state.objects.clone(),
+        }
+    }
+
+    /// Comes back from a copy: what was written since is gone, and revisions go on from those of the copy.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = self.state.lock().expect("state");
+        state.revision = copy.revision;
+        state.history_from = copy.revision;
+        state.objects = copy.objects;
+        state.events.clear();
+        state.restores += 1;
+        state.is_down = false;
+    }
+
     /// Writes an object as the operator or an engine does; `None` if the store is down.
     pub fn put(&self, kind: &str, name: &str, spec: &str) -> Option<u64> {
         let mut state = self.state.lock().expect("state");
@@ -88,8 +118,9 @@
         let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
         while let Some(request) = read_message(&mut reader) {
             let (status, body) = self.answer(&request);
-            let headers = "Content-Type: application/json\r\nStore-Era: 1\r\n";
-            if !respond(&mut stream, status, headers, &body) {
+            let era = 1 + self.state.lock().expect("state").restores;
+            let headers = format!("Content-Type: application/json\r\nStore-Era: {era}\r\n");
+            if !respond(&mut stream, status, &headers, &body) {
                 return;
             }
         }
@@ -144,6 +175,9 @@
             if state.is_down {
                 return ("503 Service Unavailable", String::new());
             }
+            if since < state.history_from || since > state.revision {
+                return ("410 Gone", String::new());
+            }
             let events = state.events.iter();
             let events = events.filter(|(revision, k, _)| *revision > since && k == kind);
             let texts: Vec<&str> = events.map(|(_, _, text)| text.as_str()).collect();
