--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the scripts in review/11 to review/14 with the compiler alone.
+# Builds the stand-ins of the scripts in review/11 to review/15 with the compiler alone.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
--- a/review/standins-3/client.rs
+++ b/review/standins-3/client.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::http::{read_chunk, read_head, read_message};
+use crate::http::{read_chunk, read_head};
 use crate::record::Record;
 
 /// A stream as its client got it, over all tries.
@@ -21,6 +21,10 @@
     pub resumed: u32,
     /// Statuses of refusals.
     pub refusals: Vec<u16>,
+    /// Each try that took the stream up again: its time in the record, and whether the stream went on.
+    pub taken_up: Vec<(f64, bool)>,
+    /// Time of the first try in the record, and whether events came.
+    pub begun: Option<(f64, bool)>,
 }
 
 impl Received {
@@ -45,6 +49,19 @@
     deadline: Duration,
     tries: u32,
     record: &Arc<Record>,
+) -> Received {
+    stream_with_pauses(name, hosts, count, deadline, tries, &[], record)
+}
+
+/// As [`stream`], with the pauses before the second and later tries.
+pub fn stream_with_pauses(
+    name: &str,
+    hosts: &[SocketAddr],
+    count: u64,
+    deadline: Duration,
+    tries: u32,
+    pauses: &[Duration],
+    record: &Arc<Record>,
 ) -> Received {
     let begun = Instant::now();
     let mut received = Received {
@@ -64,13 +81,20 @@
             record.line(&format!("client takes {name} up again as {id} after {last:?}"));
         }
         let resumes = first_try.as_deref().filter(|_| last.is_some());
-        let pause = attempt(&mut received, host, &id, count, left, last, resumes);
+        let sent_s = record.now_s();
+        let soonest = attempt(&mut received, host, &id, count, left, last, resumes);
+        let went_on = received.events.len() > before;
+        match last {
+            Some(_) => received.taken_up.push((sent_s, went_on)),
+            None => received.begun = Some((sent_s, went_on)),
+        }
         if first_try.is_none() && received.events.len() > before {
             first_try = Some(id);
         }
         if !received.is_complete {
             // Clients come again at once, or when a refusal tells them to.
-            thread::sleep(pause.min(left / 3));
+            let pause = pauses.get(received.tries as usize - 1).copied();
+            thread::sleep(pause.unwrap_or(soonest.min(left / 3)));
         }
     }
     received
@@ -113,8 +137,8 @@
         return soon;
     };
     if head.status() != 200 {
+        // The rest of the answer says no more, and the connection is not used again.
         received.refusals.push(head.status());
-        let _ = read_message(&mut reader);
         let seconds = head.header("retry-after").and_then(|s| s.parse::<f64>().ok());
         return Duration::from_secs_f64(seconds.unwrap_or(0.02));
     }
--- a/review/standins-3/host.rs
+++ b/review/standins-3/host.rs
@@ -3,7 +3,7 @@
 use std::fs::File;
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -16,6 +16,7 @@
 pub struct Host {
     pub callers: SocketAddr,
     readiness: SocketAddr,
+    settings: PathBuf,
     child: Child,
 }
 
@@ -45,21 +46,26 @@
         );
         let settings = folder.join(format!("{name}.ini"));
         std::fs::write(&settings, text).expect("a settings file");
-        let log = File::create(folder.join(format!("{name}.log"))).expect("a log");
-        let child = Command::new(COMMAND)
-            .env("YUCCACOVE_SETTINGS", &settings)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(Stdio::inherit())
-            .spawn()
-            .expect("the program of the deploy file");
+        let child = spawn(&settings);
         Self {
             callers,
             readiness,
+            settings,
             child,
         }
     }
 
+    /// Kills the process, as a loss of power does.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts the process again.
+    pub fn restart(&mut self) {
+        self.child = spawn(&self.settings);
+    }
+
     /// Waits until the host says that it is ready.
     pub fn wait_ready(&self) -> bool {
         let begun = Instant::now();
@@ -92,6 +98,18 @@
     }
 }
 
+fn spawn(settings: &Path) -> Child {
+    let log = settings.with_extension("log");
+    let log = File::options().create(true).append(true).open(log).expect("a log");
+    Command::new(COMMAND)
+        .env("YUCCACOVE_SETTINGS", settings)
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(Stdio::inherit())
+        .spawn()
+        .expect("the program of the deploy file")
+}
+
 /// Returns a loopback address whose port is free for TCP and UDP.
 pub fn free_address() -> SocketAddr {
     loop {
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -54,6 +54,7 @@
         "timeout-lowered" => versions::timeout_lowered(&setting),
         "slow-readers" => slow::slow_readers(&setting),
         "revoked-key" => revoked::revoked_key(&setting),
+        "hosts-lost" => versions::hosts_lost(&setting),
         "restart-in-place" => versions::restart_in_place(&setting),
         other => Outcome::CouldNotRun(format!("no case {other}")),
     };
--- a/review/standins-3/versions.rs
+++ b/review/standins-3/versions.rs
@@ -67,22 +67,24 @@
     }
 
     /// Asks for streams at a steady rate until `is_over`, so that the hosts have other work.
-    fn background(&self, is_over: &Arc<AtomicBool>) -> JoinHandle<()> {
+    fn background(&self, is_over: &Arc<AtomicBool>) -> JoinHandle<Vec<Received>> {
         let (hosts, record) = (self.addresses(), Arc::clone(&self.record));
         let is_over = Arc::clone(is_over);
         thread::spawn(move || {
             let mut number = 0;
+            let mut streams = Vec::new();
             while !is_over.load(Ordering::SeqCst) {
                 number += 1;
                 let mut hosts = hosts.clone();
                 let (record, name) = (Arc::clone(&record), format!("b{number}"));
                 let first = number % hosts.len();
                 hosts.rotate_left(first);
-                thread::spawn(move || {
+                streams.push(thread::spawn(move || {
                     client::stream(&name, &hosts, 10, Duration::from_secs(2), 1, &record)
-                });
+                }));
                 thread::sleep(Duration::from_millis(100));
             }
+            streams.into_iter().filter_map(|stream| stream.join().ok()).collect()
         })
     }
 
@@ -101,6 +103,97 @@
     }
 }
 
+/// Time after which undisturbed machines are in touch again.
+const CONTACT_S: f64 = 3.0;
+/// Streams that have to be taken up again for the rule to be judged.
+const JUDGED: usize = 12;
+/// Pauses of the clients before they take a stream up again.
+const PAUSES_MS: [u64; 4] = [50, 1_000, 2_000, 3_300];
+
+/// All hosts lose power while the store is away, beside a release to a newer software version.
+pub fn hosts_lost(setting: &Setting) -> Outcome {
+    let record = &setting.record;
+    let start = |id: &str, version: &str| {
+        Engine::start(id, "model", version, free_address(), record)
+    };
+    let old = [start("i-old-1", "v1"), start("i-old-2", "v1")];
+    let Some(mut deployment) = Deployment::start(setting, &[&old[0], &old[1]]) else {
+        return Outcome::CouldNotRun("the hosts are not ready".to_owned());
+    };
+    let begun_s = record.now_s();
+    let at = |s: f64| wait_until(record, begun_s + s);
+    at(1.0);
+    let new = [start("i-new-1", "v2"), start("i-new-2", "v2")];
+    new.iter().for_each(|engine| deployment.list(engine, "ready"));
+    let is_over = Arc::new(AtomicBool::new(false));
+    let background = deployment.background(&is_over);
+    at(2.6);
+    if setting.has_trouble {
+        deployment.store.set_down(true);
+        record.line("the store is away");
+    }
+    at(3.0);
+    let streams = (1..=20).map(|number: usize| {
+        let mut hosts = deployment.addresses();
+        let (record, name) = (Arc::clone(record), format!("s{number}"));
+        let first = number % hosts.len();
+        hosts.rotate_left(first);
+        thread::spawn(move || {
+            let pauses = PAUSES_MS.map(Duration::from_millis);
+            let deadline = Duration::from_secs(10);
+            client::stream_with_pauses(&name, &hosts, 90, deadline, 5, &pauses, &record)
+        })
+    });
+    let streams: Vec<_> = streams.collect();
+    at(4.5);
+    deployment.hosts.iter_mut().for_each(Host::kill);
+    record.line("all hosts lose power");
+    at(5.5);
+    deployment.hosts.iter_mut().for_each(Host::restart);
+    record.line("all hosts start again");
+    at(6.6);
+    deployment.store.set_down(false);
+    record.line("the store is back");
+    let touch_s = begun_s + 6.6 + CONTACT_S;
+    let streams: Vec<Received> = streams.into_iter().filter_map(|s| s.join().ok()).collect();
+    is_over.store(true, Ordering::SeqCst);
+    let new_streams = background.join().unwrap_or_default();
+    for stream in &streams {
+        record.line(&format!(
+            "stream {}: events={} versions={:?} complete={} taken up at {:?} refusals={:?}",
+            stream.name,
+            stream.events.len(),
+            stream.versions(),
+            stream.is_complete,
+            stream.taken_up,
+            stream.refusals
+        ));
+    }
+    let is_judged = |(sent_s, _): &(f64, bool)| *sent_s >= touch_s;
+    let taken_up = streams.iter().flat_map(|stream| &stream.taken_up);
+    let taken_up: Vec<_> = taken_up.filter(|t| is_judged(t)).collect();
+    let begun = new_streams.iter().filter_map(|stream| stream.begun.as_ref());
+    let begun: Vec<_> = begun.filter(|t| is_judged(t)).collect();
+    let went_on = taken_up.iter().filter(|(_, went_on)| *went_on).count();
+    let began = begun.iter().filter(|(_, began)| *began).count();
+    let all_went_on = streams.iter().filter(|s| s.taken_up.iter().any(|(_, on)| *on)).count();
+    record.line(&format!(
+        "in touch: {went_on} of {} streams that were taken up again went on, {began} of {} new ones began; \
+         at any time {all_went_on} of {} went on",
+        taken_up.len(),
+        begun.len(),
+        streams.len()
+    ));
+    if taken_up.len() < JUDGED {
+        let is_served = all_went_on >= JUDGED;
+        let cause = "too few streams were taken up again in touch".to_owned();
+        return if is_served { Outcome::Held } else { Outcome::CouldNotRun(cause) };
+    }
+    let share = |part: usize, all: usize| part as f64 / all.max(1) as f64;
+    let is_broken = share(went_on, taken_up.len()) < share(began, begun.len()) / 2.0;
+    if is_broken { Outcome::Broken } else { Outcome::Held }
+}
+
 fn wait_until(record: &Record, at_s: f64) {
     let left = at_s - record.now_s();
     if left > 0.0 {
