--- a/review/standins-3/engine.rs
+++ b/review/standins-3/engine.rs
@@ -3,7 +3,7 @@
 use std::io::{BufReader, ErrorKind, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::thread;
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
     pub address: SocketAddr,
     pub born_ms: u64,
     is_stopped: AtomicBool,
-    connections: Mutex<Vec<TcpStream>>,
+    connections: Mutex<Vec<Weak<TcpStream>>>,
     pub runs: AtomicU64,
     /// Whether streams come with neither a length nor chunks and end with their connection.
     pub is_unframed: AtomicBool,
@@ -78,7 +78,7 @@
     pub fn stop(&self) {
         self.is_stopped.store(true, Ordering::SeqCst);
         for connection in self.connections.lock().expect("connections").drain(..) {
-            let _ = connection.shutdown(Shutdown::Both);
+            let _ = connection.upgrade().map(|stream| stream.shutdown(Shutdown::Both));
         }
         self.record.line(&format!("engine {} {} ends", self.id, self.version));
     }
@@ -93,10 +93,12 @@
                 Ok((stream, _)) => {
                     let _ = stream.set_nonblocking(false);
                     let _ = stream.set_nodelay(true);
-                    let kept = stream.try_clone().expect("a handle");
-                    self.connections.lock().expect("connections").push(kept);
+                    let stream = Arc::new(stream);
+                    let mut connections = self.connections.lock().expect("connections");
+                    connections.retain(|other| other.strong_count() > 0);
+                    connections.push(Arc::downgrade(&stream));
                     let engine = Arc::clone(self);
-                    thread::spawn(move || engine.serve(stream));
+                    thread::spawn(move || engine.serve(&stream));
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {
                     thread::sleep(Duration::from_millis(2));
@@ -106,8 +108,8 @@
         }
     }
 
-    fn serve(&self, mut stream: TcpStream) {
-        let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+    fn serve(&self, mut stream: &TcpStream) {
+        let mut reader = BufReader::new(stream);
         while let Some(request) = read_message(&mut reader) {
             if self.has_stopped() || !self.answer(&request, &mut stream) {
                 break;
@@ -117,7 +119,7 @@
     }
 
     /// Answers a request. Returns whether the connection stays open.
-    fn answer(&self, request: &Message, stream: &mut TcpStream) -> bool {
+    fn answer(&self, request: &Message, stream: &mut &TcpStream) -> bool {
         let id = request.header("x-yuccacove-request-id").unwrap_or("");
         let own = format!("X-Yuccacove-Instance-Id: {}\r\n", self.id);
         let echo = format!("X-Yuccacove-Request-Id: {id}\r\n{own}");
@@ -166,7 +168,7 @@
     }
 
     /// Streams one event for each token, from the one after `Last-Event-Id` on.
-    fn generate(&self, request: &Message, id: &str, echo: &str, stream: &mut TcpStream) -> bool {
+    fn generate(&self, request: &Message, id: &str, echo: &str, stream: &mut &TcpStream) -> bool {
         let tokens = request.header("x-yuccacove-token-count").unwrap_or("");
         let count = tokens.split_once(',').and_then(|(_, n)| n.parse().ok()).unwrap_or(1);
         let last = request.header("last-event-id").and_then(|n| n.parse().ok()).unwrap_or(0);
--- a/review/standins-3/host.rs
+++ b/review/standins-3/host.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -110,12 +111,19 @@
         .expect("the program of the deploy file")
 }
 
-/// Returns a loopback address whose port is free for TCP and UDP.
+/// First of the ports for hosts and engines, below those that the kernel gives to outgoing connections.
+const FIRST_PORT: u32 = 20_000;
+/// Number of these ports.
+const PORTS: u32 = 10_000;
+
+/// Returns a loopback address whose port is free for TCP and UDP, another one at each call.
 pub fn free_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("an address");
-        if UdpSocket::bind(address).is_ok() {
+        let number = std::process::id() * 97 + NEXT.fetch_add(1, Ordering::SeqCst);
+        let port = FIRST_PORT + number % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
--- a/review/standins-3/http.rs
+++ b/review/standins-3/http.rs
@@ -1,7 +1,6 @@
 //! HTTP/1.1 as the stand-ins need it.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::TcpStream;
 
 /// A request, or the head of a response (then `line` is its status line).
 #[derive(Debug, Clone, Default)]
@@ -42,7 +41,7 @@
 }
 
 /// Reads a head; `None` at the end of the connection or after an error.
-pub fn read_head(reader: &mut BufReader<TcpStream>) -> Option<Message> {
+pub fn read_head(reader: &mut BufReader<impl Read>) -> Option<Message> {
     let mut message = Message::default();
     loop {
         let mut line = String::new();
@@ -62,7 +61,7 @@
 }
 
 /// Reads one chunk of a chunked body: empty at its end, `None` if it breaks off.
-pub fn read_chunk(reader: &mut BufReader<TcpStream>) -> Option<Vec<u8>> {
+pub fn read_chunk(reader: &mut BufReader<impl Read>) -> Option<Vec<u8>> {
     let mut line = String::new();
     if reader.read_line(&mut line).ok()? == 0 {
         return None;
@@ -75,7 +74,7 @@
 }
 
 /// Reads a message with a body that has a length or comes in chunks; `None` if it breaks off.
-pub fn read_message(reader: &mut BufReader<TcpStream>) -> Option<Message> {
+pub fn read_message(reader: &mut BufReader<impl Read>) -> Option<Message> {
     let mut message = read_head(reader)?;
     if message.header("transfer-encoding") == Some("chunked") {
         loop {
@@ -93,7 +92,7 @@
 }
 
 /// Writes a response with a length.
-pub fn respond(stream: &mut TcpStream, status: &str, headers: &str, body: &str) -> bool {
+pub fn respond(stream: &mut impl Write, status: &str, headers: &str, body: &str) -> bool {
     let text = format!(
         "HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
         body.len()
--- a/review/standins-3/link.rs
+++ b/review/standins-3/link.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -16,16 +17,16 @@
                 continue;
             };
             let _ = (near.set_nodelay(true), far.set_nodelay(true));
-            let clone = |stream: &TcpStream| stream.try_clone().expect("a handle");
-            let (from_host, to_server) = (clone(&near), clone(&far));
-            thread::spawn(move || copy(from_host, to_server, None));
-            thread::spawn(move || copy(far, near, Some((interval, hold))));
+            let (near, far) = (Arc::new(near), Arc::new(far));
+            let (from_host, to_server) = (Arc::clone(&near), Arc::clone(&far));
+            thread::spawn(move || copy(&from_host, &to_server, None));
+            thread::spawn(move || copy(&far, &near, Some((interval, hold))));
         }
     });
     address
 }
 
-fn copy(mut from: TcpStream, mut to: TcpStream, holds: Option<(Duration, Duration)>) {
+fn copy(mut from: &TcpStream, mut to: &TcpStream, holds: Option<(Duration, Duration)>) {
     let mut buffer = [0; 16 * 1_024];
     let mut passed = Instant::now();
     loop {
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -113,9 +113,10 @@
         revision
     }
 
-    fn serve(&self, mut stream: TcpStream) {
+    fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+        let mut stream = &stream;
+        let mut reader = BufReader::new(stream);
         while let Some(request) = read_message(&mut reader) {
             let (status, body) = self.answer(&request);
             let era = 1 + self.state.lock().expect("state").restores;
