Log what tells the version of a resumed stream

The log could not tell a version that a host had recorded from one that it inferred, nor how far back the inference reached. E211 gives both, with the assumed lifetime of streams.

--- a/crates/yucca-serve/src/stream_versions.rs
+++ b/crates/yucca-serve/src/stream_versions.rs
@@ -12,6 +12,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time::{Duration, Instant, sleep, timeout};
+use yucca_io::log;
+use yucca_io::log::field;
+use yuccacove::event::Event;
 use yuccacove::fleet_rate::HostId;
 use yuccacove::stream_version::{Evidence, StreamId, StreamVersions, VersionId};
 
@@ -399,6 +402,7 @@
     if is_unproven && evidence.listed.is_some() {
         evidence.stored = stored(host, service).await;
     }
+    log_resumption(host, service, request_id, &evidence);
     let version = evidence.confirmed_version()?;
     let has_begun = evidence.recorded.is_some();
     if let Some(stream) = stream.filter(|_| has_begun) {
@@ -407,6 +411,25 @@
     Some(KnownVersion { version, has_begun })
 }
 
+/// Logs at which version a resumed stream goes on, what tells that, and how far back that reaches.
+fn log_resumption<B>(host: &Host<B>, service: &str, request_id: Option<&str>, evidence: &Evidence) {
+    let confirmed = evidence.confirmed_version();
+    let version = confirmed.map_or_else(String::new, |version| format!("{:016x}", version.0));
+    let basis = evidence.version_with_basis();
+    let basis = basis.map_or("none", |(_, basis)| basis.name());
+    let listed = evidence.listed.as_ref().map(Vec::len);
+    let fields = format!(
+        "resumed={} service={} version={version} basis={basis} present={} listed={listed:?} \
+         known_ms={:?} lifetime_ms={}",
+        field(request_id.unwrap_or_default()),
+        field(service),
+        evidence.present.len(),
+        host.relay.known_ms(Kind::BackEnds),
+        lifetime_ms(host),
+    );
+    log::write(Event::StreamVersion, &fields);
+}
+
 /// Asks other hosts for the version of a stream that this host does not remember, and waits until one has
 /// recorded it or all had time to answer.
 async fn ask<B>(host: &Host<B>, service: &str, stream: StreamId) {
--- a/src/event.rs
+++ b/src/event.rs
@@ -49,6 +49,7 @@
     Held = 208, "held", "A request waits in the host until engines have free capacity or a shorter queue.";
     ConnectionsClosed = 209, "connections_closed", "Connections of callers were closed or refused to keep the limits; lists the numbers since the start by reason.";
     ExplanationsLimited = 210, "explanations_limited", "Operators asked more questions about placements than are answered; lists the refused ones since the start, every ten seconds at most.";
+    StreamVersion = 211, "stream_version", "The software version at which a resumed stream goes on, or that it is not known; tells what it is known by, and for how long streams are assumed to live.";
     BackendFailed = 301, "backend_failed", "A backend failed a request.";
     BackendEjected = 302, "backend_ejected", "A backend receives no work after repeated failures.";
     BackendReturned = 303, "backend_returned", "An ejected backend receives work again.";
--- a/src/stream_version.rs
+++ b/src/stream_version.rs
@@ -99,6 +99,31 @@
     }
 }
 
+/// What tells the version of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Basis {
+    /// A host recorded it when the stream began.
+    Recorded,
+    /// This host has watched the engines, and there was no other.
+    Watched,
+    /// Another host has.
+    ObservedByPeer,
+    /// The record in the store says that there was no other.
+    Stored,
+}
+
+impl Basis {
+    /// Returns the name in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Recorded => "recorded",
+            Self::Watched => "watched",
+            Self::ObservedByPeer => "peer",
+            Self::Stored => "store",
+        }
+    }
+}
+
 /// What a host knows of the version of a stream.
 #[derive(Debug, Default, Clone, PartialEq, Eq)]
 pub struct Evidence {
@@ -125,15 +150,27 @@
 impl Evidence {
     /// Returns the version at which the stream has to go on; `None` if that is not known.
     pub fn version(&self) -> Option<VersionId> {
-        if self.recorded.is_some() {
-            return self.recorded;
+        self.version_with_basis().map(|(version, _)| version)
+    }
+
+    /// As [`Evidence::version`], with what tells it.
+    pub fn version_with_basis(&self) -> Option<(VersionId, Basis)> {
+        if let Some(recorded) = self.recorded {
+            return Some((recorded, Basis::Recorded));
         }
         let [only] = self.present.as_slice() else {
             return None;
         };
-        let is_proven =
-            self.has_watched || [self.observed_by_peer, self.stored].contains(&Some(*only));
-        is_proven.then_some(*only)
+        let basis = if self.has_watched {
+            Basis::Watched
+        } else if self.observed_by_peer == Some(*only) {
+            Basis::ObservedByPeer
+        } else if self.stored == Some(*only) {
+            Basis::Stored
+        } else {
+            return None;
+        };
+        Some((*only, basis))
     }
 
     /// As [`Evidence::version`], for a stream that is resumed now. What this host has seen may be out of date without
