Share the hosts of tests of software versions, and let them follow a configuration

Tests of software versions gave each host its configuration directly, so that none could change it under running streams.

--- a/crates/yucca-serve/tests/common/link.rs
+++ b/crates/yucca-serve/tests/common/link.rs
@@ -1,6 +1,6 @@
 //! A host's connection to the store.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use serde_json::Value;
@@ -20,6 +20,9 @@
     pub mode: Cell<StoreMode>,
     /// Time for which requests wait on their way to the store, and responses on their way back.
     pub delay_ms: Cell<u64>,
+    /// Configuration from which those in the store differ by their version and the time limit of all routes,
+    /// which have none left if that is missing; `None` for the store's own decoder.
+    pub config_template: RefCell<Option<ServingConfig>>,
     /// Number of watches.
     pub watches: Cell<u64>,
     /// Number of listings.
@@ -33,6 +36,7 @@
             store: Rc::clone(store),
             mode: Cell::new(StoreMode::Up),
             delay_ms: Cell::new(0),
+            config_template: RefCell::default(),
             watches: Cell::new(0),
             lists: Cell::new(0),
         })
@@ -127,6 +131,20 @@
     }
 
     fn config(&self, object: &Object) -> Result<ServingConfig, ConfigFault> {
-        self.store.config(object)
+        let config = self.store.config(object)?;
+        let template = self.config_template.borrow();
+        let Some(mut decoded) = template.clone() else {
+            return Ok(config);
+        };
+        decoded.version = config.version;
+        let timeout_ms = object.value.as_ref().and_then(|v| v["timeout_ms"].as_u64());
+        match timeout_ms {
+            Some(timeout_ms) => decoded
+                .routes
+                .iter_mut()
+                .for_each(|route| route.timeout_ms = timeout_ms),
+            None => decoded.routes.clear(),
+        }
+        Ok(decoded)
     }
 }
--- a/crates/yucca-serve/tests/common/mod.rs
+++ b/crates/yucca-serve/tests/common/mod.rs
@@ -10,6 +10,7 @@
 pub mod link;
 pub mod relay_group;
 pub mod site;
+pub mod version_fleet;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet, VecDeque};
