Keep to the lifetime under which a stream began when a time-out is lowered

The operator had lowered the time-out of the route while engines of a newer version took over.

Cause: how long streams live was computed from the configuration in force.

Ruled out: an outdated list of engines (the listing was read for each of them and has v2 alone), and lost notes between hosts (they are asked and have forgotten, too).

Change: src/stream_lifetime.rs keeps the limits that were in force, each until no stream that began under it can live, with the time that other hosts take to apply a change. A stream's record keeps the time that it was given when it was made. Raised limits reach back only to when they came into force, so that one version is proven as early as before.

--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -175,7 +175,8 @@
         let own = HostId(hash_of(&deployment.name));
         let shutdown = Shutdown::new(deployment.grace_ms);
         let incarnation = hash_of((draw_seed, own.0));
-        let relay = Relay::new(&deployment.name, incarnation, deployment.change_bound_ms());
+        let change_bound_ms = deployment.change_bound_ms();
+        let relay = Relay::new(&deployment.name, incarnation, change_bound_ms);
         let memory = Memory::new(deployment.memory_bytes);
         let connections = Connections::new(deployment.caller_descriptors, memory.clone());
         let recency = deployment.revoke_ms.map(ConfigRecency::new);
@@ -198,7 +199,7 @@
             crash_causes: RefCell::default(),
             trials: RefCell::default(),
             rates: RefCell::new(FleetRates::new(own, draw_seed as u32)),
-            streams: HostStreams::default(),
+            streams: HostStreams::new(change_bound_ms),
             metrics: Metrics::default(),
             clock: Rc::default(),
             recency,
@@ -275,6 +276,7 @@
         let (version, routes) = (config.version, config.routes.len());
         let fields = format!("version={version} routes={routes}{origin}");
         log::write(Event::CatalogueChanged, &fields);
+        self.streams.set_limits(&config, self.now_ms());
         *self.config.borrow_mut() = Some(Rc::new(config));
     }
 
--- a/crates/yucca-serve/src/stream_versions.rs
+++ b/crates/yucca-serve/src/stream_versions.rs
@@ -16,15 +16,16 @@
 use yucca_io::log::field;
 use yuccacove::event::Event;
 use yuccacove::fleet_rate::HostId;
+use yuccacove::stream_lifetime::StreamLifetime;
 use yuccacove::stream_version::{Evidence, StreamId, StreamVersions, VersionId};
 
-use crate::config::RouteKind;
+use crate::config::{RouteKind, ServingConfig};
 use crate::hash::hash_of;
 use crate::host::Host;
 use crate::ports::Kind;
 
 /// Longest time between the first event of a stream and its last resumption, as a multiple of the
-/// longest time limit of the routes. Callers' deadlines may exceed that, and it changes.
+/// longest time limit of the routes. Callers' deadlines may exceed that.
 const LIFETIME_FACTOR: f64 = 1.5;
 /// Up to this many other hosts, all of them learn the versions of streams; in a larger fleet some do,
 /// which follow from the stream's id.
@@ -96,9 +97,10 @@
 pub(crate) type ListedVersions = IndexMap<String, Vec<VersionId>>;
 
 /// What this host knows of the versions of streams, and messages to send.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct HostStreams {
     memory: RefCell<StreamVersions>,
+    lifetime: RefCell<StreamLifetime>,
     /// Whether other hosts could not infer the versions of this host's streams.
     is_announcing: Cell<bool>,
     checked_ms: Cell<u64>,
@@ -123,6 +125,33 @@
 }
 
 impl HostStreams {
+    /// Creates the state before the first configuration. All hosts apply a change of it within `spread_ms`.
+    pub(crate) fn new(spread_ms: u64) -> Self {
+        Self {
+            memory: RefCell::default(),
+            lifetime: RefCell::new(StreamLifetime::new(spread_ms)),
+            is_announcing: Cell::default(),
+            checked_ms: Cell::default(),
+            notes: RefCell::default(),
+            questions: RefCell::default(),
+            answers: RefCell::default(),
+            observed_by_peer: RefCell::default(),
+            stored: RefCell::default(),
+            record_wanted: Notify::default(),
+            record_read: Notify::default(),
+            unwritten: RefCell::default(),
+            journal_wanted: Notify::default(),
+            journal_read: Notify::default(),
+            listed: RefCell::default(),
+        }
+    }
+
+    /// Applies the limits of a configuration to the streams that begin from now on.
+    pub(crate) fn set_limits(&self, config: &ServingConfig, now_ms: u64) {
+        let lifetime_ms = lifetime_by(config);
+        self.lifetime.borrow_mut().set_in_force(lifetime_ms, now_ms);
+    }
+
     /// Whether there are messages to send.
     pub(crate) fn has_messages(&self) -> bool {
         !self.notes.borrow().is_empty()
@@ -241,24 +270,33 @@
     StreamId(hash_of(request_id))
 }
 
-/// Returns the longest time from the first event of a stream to its last resumption.
-pub(crate) fn lifetime_ms<B>(host: &Host<B>) -> u64 {
-    let limit_ms = host.config().map_or(0, |config| {
-        let routes = config.routes.iter();
-        let streams = routes.filter(|route| matches!(route.kind, RouteKind::Stream { .. }));
-        streams.map(|route| route.timeout_ms).max().unwrap_or(0)
-    });
+/// Returns the longest time from the first event of a stream to its last resumption, for streams that begin
+/// under a configuration.
+fn lifetime_by(config: &ServingConfig) -> u64 {
+    let routes = config.routes.iter();
+    let streams = routes.filter(|route| matches!(route.kind, RouteKind::Stream { .. }));
+    let limit_ms = streams.map(|route| route.timeout_ms).max().unwrap_or(0);
     (limit_ms as f64 * LIFETIME_FACTOR) as u64
 }
 
+/// Returns the longest time from the first event to the last resumption of a stream that runs, or begins now.
+pub(crate) fn lifetime_ms<B>(host: &Host<B>) -> u64 {
+    host.streams.lifetime.borrow().longest_ms(host.now_ms())
+}
+
+/// Returns how long ago a stream may have begun that still runs.
+fn span_ms<B>(host: &Host<B>) -> u64 {
+    host.streams.lifetime.borrow().span_ms(host.now_ms())
+}
+
 /// Returns what this host has itself seen of the versions of a service's engines.
 pub(crate) fn own_evidence<B>(host: &Host<B>, service: &str) -> Evidence {
     let now_ms = host.now_ms();
-    let lifetime_ms = lifetime_ms(host);
+    let span_ms = span_ms(host);
     let directory = host.directory.borrow();
-    let present = directory.versions(service, now_ms.saturating_sub(lifetime_ms));
+    let present = directory.versions(service, now_ms.saturating_sub(span_ms));
     let known_ms = host.relay.known_ms(Kind::BackEnds);
-    let has_watched = known_ms.is_some_and(|known_ms| known_ms >= lifetime_ms);
+    let has_watched = known_ms.is_some_and(|known_ms| known_ms >= span_ms);
     // Where engines name no version, there is nothing to tell apart.
     let is_unnamed = present == [version_id("")];
     Evidence {
@@ -289,9 +327,9 @@
 /// Remembers the version of a stream.
 pub(crate) fn remember<B>(host: &Host<B>, stream: StreamId, version: VersionId) {
     let now_ms = host.now_ms();
-    let forgotten_ms = now_ms.saturating_sub(lifetime_ms(host));
+    let until_ms = now_ms.saturating_add(lifetime_ms(host));
     let mut memory = host.streams.memory.borrow_mut();
-    memory.record(stream, version, now_ms, forgotten_ms);
+    memory.record(stream, version, until_ms, now_ms);
 }
 
 /// Records the version with which a stream began, and tells it to other hosts if they could not infer it.
@@ -420,11 +458,12 @@
     let listed = evidence.listed.as_ref().map(Vec::len);
     let fields = format!(
         "resumed={} service={} version={version} basis={basis} present={} listed={listed:?} \
-         known_ms={:?} lifetime_ms={}",
+         known_ms={:?} span_ms={} lifetime_ms={}",
         field(request_id.unwrap_or_default()),
         field(service),
         evidence.present.len(),
         host.relay.known_ms(Kind::BackEnds),
+        span_ms(host),
         lifetime_ms(host),
     );
     log::write(Event::StreamVersion, &fields);
--- a/crates/yucca-serve/tests/common/version_fleet.rs
+++ b/crates/yucca-serve/tests/common/version_fleet.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt;
 use serde_json::{Value, json};
 use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::Instant;
+use tokio::time::{Duration, Instant};
 use yucca_serve::config::{RouteKind, ServingConfig};
 use yucca_serve::follow::follow_config;
 use yucca_serve::host::{Deployment, Host};
@@ -35,6 +35,8 @@
 /// Time limit of the route at the start.
 pub const TIMEOUT_MS: u64 = 4_000;
 const DELIVERY_INTERVAL_MS: u64 = 10;
+/// Pause between two requests of other callers.
+const OTHERS_INTERVAL_MS: u64 = 50;
 
 /// Returns the number of events of a reply, and whether it is complete.
 pub async fn read(reply: Reply) -> (usize, bool) {
@@ -308,6 +310,17 @@
         Begun { id, version }
     }
 
+    /// Sends requests for streams at a steady rate for `ms`, whatever comes of them.
+    pub async fn send_others(&self, ms: u64) {
+        let until = Instant::now() + Duration::from_millis(ms);
+        while Instant::now() < until {
+            let request = self.generation();
+            let (reply, _) = self.send(self.random_host(), request, interrupted()).await;
+            let _ = read(reply).await;
+            wait_ms(OTHERS_INTERVAL_MS).await;
+        }
+    }
+
     /// Resumes a stream, as its caller does. Returns the version of the engine at which it goes on; if it
     /// is refused, that must be at once and true.
     pub async fn resume(&self, at: usize, begun: &Begun) -> Option<String> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod slot_limit;
 mod splitmix;
 pub mod store;
+pub mod stream_lifetime;
 pub mod stream_version;
 pub mod subset;
 pub mod suspect;
--- a/src/stream_version.rs
+++ b/src/stream_version.rs
@@ -4,7 +4,7 @@
 //! version that began it. Hosts remember the versions of the streams that began lately. What nobody
 //! remembers can be inferred if engines had only one version for as long as any stream lasts.
 
-use std::collections::VecDeque;
+use std::collections::BTreeSet;
 
 use indexmap::IndexMap;
 
@@ -16,7 +16,7 @@
 pub struct VersionId(pub u64);
 
 /// Identifies a stream by a hash of the id of the try that brought its first event.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StreamId(pub u64);
 
 /// The versions that the engines of a service had, with the time at which each was last there.
@@ -55,34 +55,35 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Stream {
     version: VersionId,
-    recorded_ms: u64,
+    /// Time until which it may be resumed.
+    until_ms: u64,
 }
 
-/// The versions of the streams that began lately.
+/// The versions of the streams that may be resumed.
 #[derive(Debug, Default)]
 pub struct StreamVersions {
     streams: IndexMap<StreamId, Stream>,
-    /// Each record with its time, the oldest first. A stream that was recorded again is in it twice.
-    by_age: VecDeque<(StreamId, u64)>,
+    /// The streams by the time until which they may be resumed. A stream keeps the time that it was given,
+    /// however short those are that begin later.
+    by_end: BTreeSet<(u64, StreamId)>,
 }
 
 impl StreamVersions {
-    /// Records the version of a stream, and forgets those that were recorded last before `forgotten_ms`.
-    pub fn record(&mut self, id: StreamId, version: VersionId, now_ms: u64, forgotten_ms: u64) {
-        let stream = Stream {
-            version,
-            recorded_ms: now_ms,
-        };
-        self.streams.insert(id, stream);
-        self.by_age.push_back((id, now_ms));
-        while let Some((id, recorded_ms)) = self.by_age.front().copied()
-            && (recorded_ms < forgotten_ms || self.by_age.len() > MAX_RECORDS)
+    /// Records the version of a stream that may be resumed until `until_ms`, and forgets those that may not any
+    /// more.
+    pub fn record(&mut self, id: StreamId, version: VersionId, until_ms: u64, now_ms: u64) {
+        let mut until_ms = until_ms;
+        if let Some(known) = self.streams.get(&id) {
+            self.by_end.remove(&(known.until_ms, id));
+            until_ms = until_ms.max(known.until_ms);
+        }
+        self.streams.insert(id, Stream { version, until_ms });
+        self.by_end.insert((until_ms, id));
+        while let Some((until_ms, id)) = self.by_end.first().copied()
+            && (until_ms < now_ms || self.by_end.len() > MAX_RECORDS)
         {
-            self.by_age.pop_front();
-            let is_latest = |stream: &Stream| stream.recorded_ms == recorded_ms;
-            if self.streams.get(&id).is_some_and(is_latest) {
-                self.streams.swap_remove(&id);
-            }
+            self.by_end.pop_first();
+            self.streams.swap_remove(&id);
         }
     }
 
--- /dev/null
+++ b/tests/stream_lifetime.rs
@@ -0,0 +1,96 @@
+//! Tests of how long streams are assumed to live when the limits change.
+
+use yuccacove::stream_lifetime::StreamLifetime;
+
+/// Time within which all hosts apply a change.
+const SPREAD_MS: u64 = 2_000;
+const SHORT_MS: u64 = 4_000;
+const LONG_MS: u64 = 15_000;
+
+/// Returns the state after `changes`, each the lifetime by new limits and the time at which they were applied.
+fn after(changes: &[(u64, u64)]) -> StreamLifetime {
+    let mut lifetime = StreamLifetime::new(SPREAD_MS);
+    for (lifetime_ms, now_ms) in changes {
+        lifetime.set_in_force(*lifetime_ms, *now_ms);
+    }
+    lifetime
+}
+
+/// Guards against streams that outlast what tells their version because limits were lowered, removed or
+/// lowered again, and against a look back that is longer than any stream after they were raised.
+#[test]
+fn lifetime_after_changes() {
+    let raised = [(SHORT_MS, 0), (LONG_MS, 100_000)];
+    let lowered = [(LONG_MS, 0), (SHORT_MS, 100_000)];
+    let lowered_again = [(LONG_MS, 0), (8_000, 100_000), (SHORT_MS, 101_000)];
+    let removed = [(LONG_MS, 0), (0, 100_000), (SHORT_MS, 105_000)];
+    let flapping = [
+        (LONG_MS, 0),
+        (SHORT_MS, 100_000),
+        (LONG_MS, 101_000),
+        (SHORT_MS, 102_000),
+    ];
+    // Changes, a time, the longest lifetime, and how long ago a live stream may have begun.
+    let cases: [(&str, &[(u64, u64)], u64, u64, u64); 14] = [
+        ("first limits", &[(LONG_MS, 0)], 1_000, LONG_MS, LONG_MS),
+        (
+            "the same again",
+            &[(LONG_MS, 0), (LONG_MS, 9_000)],
+            90_000,
+            LONG_MS,
+            LONG_MS,
+        ),
+        ("lowered", &lowered, 100_001, LONG_MS, LONG_MS),
+        (
+            "lowered, streams run on",
+            &lowered,
+            117_000,
+            LONG_MS,
+            LONG_MS,
+        ),
+        (
+            "lowered, none runs on",
+            &lowered,
+            117_001,
+            SHORT_MS,
+            SHORT_MS,
+        ),
+        ("lowered again", &lowered_again, 116_000, LONG_MS, LONG_MS),
+        (
+            "lowered again, later",
+            &lowered_again,
+            117_001,
+            SHORT_MS,
+            SHORT_MS,
+        ),
+        ("removed", &removed, 104_000, LONG_MS, LONG_MS),
+        ("removed and added", &removed, 117_000, LONG_MS, LONG_MS),
+        ("raised", &raised, 100_000, LONG_MS, SHORT_MS),
+        ("raised, a while ago", &raised, 110_000, LONG_MS, 12_000),
+        ("raised, long ago", &raised, 150_000, LONG_MS, LONG_MS),
+        ("raised for a moment", &flapping, 119_000, LONG_MS, LONG_MS),
+        (
+            "raised for a moment, long ago",
+            &flapping,
+            119_001,
+            SHORT_MS,
+            SHORT_MS,
+        ),
+    ];
+    for (name, changes, now_ms, longest_ms, span_ms) in cases {
+        let lifetime = after(changes);
+        let found = (lifetime.longest_ms(now_ms), lifetime.span_ms(now_ms));
+        assert_eq!(found, (longest_ms, span_ms), "{name}");
+    }
+}
+
+/// Guards against configurations in quick succession that use up memory, or push out the longest lifetime.
+#[test]
+fn lifetime_after_many_changes() {
+    let mut lifetime = StreamLifetime::new(SPREAD_MS);
+    for number in 0..10_000 {
+        lifetime.set_in_force(LONG_MS - number, number);
+    }
+    assert_eq!(lifetime.longest_ms(10_000), LONG_MS);
+    assert_eq!(lifetime.longest_ms(40_000), LONG_MS - 9_999);
+}
--- a/tests/stream_version.rs
+++ b/tests/stream_version.rs
@@ -102,18 +102,36 @@
     let mut streams = StreamVersions::default();
     for number in 0..100 {
         let now_ms = number * 10;
-        streams.record(StreamId(number), OLD, now_ms, now_ms.saturating_sub(500));
+        streams.record(StreamId(number), OLD, now_ms + 500, now_ms);
     }
     assert_eq!(streams.find(StreamId(48)), None);
     assert_eq!(streams.find(StreamId(49)), Some(OLD));
     assert_eq!(streams.iter().count(), 51);
     // A stream that is recorded again is the youngest.
-    streams.record(StreamId(49), NEW, 1_000, 500);
-    streams.record(StreamId(100), OLD, 1_400, 900);
+    streams.record(StreamId(49), NEW, 1_500, 1_000);
+    streams.record(StreamId(100), OLD, 1_900, 1_400);
     assert_eq!(streams.find(StreamId(49)), Some(NEW));
     assert_eq!(streams.find(StreamId(60)), None);
 }
 
+/// Guards against a stream that is forgotten because those that begin after it live less long, or because it is
+/// recorded again with less time.
+#[test]
+fn stream_versions_keep_own_time() {
+    let mut streams = StreamVersions::default();
+    streams.record(StreamId(1), OLD, 15_000, 0);
+    streams.record(StreamId(1), OLD, 5_000, 1_000);
+    for number in 2..100 {
+        let now_ms = number * 100;
+        streams.record(StreamId(number), NEW, now_ms + 400, now_ms);
+    }
+    assert_eq!(streams.find(StreamId(1)), Some(OLD));
+    assert_eq!(streams.find(StreamId(95)), Some(NEW));
+    assert_eq!(streams.find(StreamId(94)), None);
+    streams.record(StreamId(100), NEW, 20_000, 15_001);
+    assert_eq!(streams.find(StreamId(1)), None);
+}
+
 /// Guards against a version that has left a moment ago and does not count any more.
 #[test]
 fn version_history_since() {
