Learn from the store how long streams live that began before a host started

Cause: a host knows the limits that it has seen in force. One that starts, or was out of step, knows the present ones only, and counted them as the lifetime of the streams of before; so did its word to others, and the record in the store that such a host wrote.

Change: the record of services with one version also has the longest lifetime of a stream that runs. A host reads it once it is in step, and until then takes no version for the only one. The lease holder raises the lifetime at once and lowers it when no stream of it is left. Another host's word counts only while this host knows of no longer lifetime than that of the limits in force, because a build before this one goes by these; so does a record without a lifetime, which such a build writes. It reads ours: the field stands beside the versions. No message changes.

Ruled out: telling lifetimes in datagrams. Hosts that pass on what they learn renew it for each other, and builds of before would not tell it.

resume_after_timeout_lowered_unseen failed before (a stream of v1 went on at v2 after all hosts had started again) and passes.

--- a/crates/yucca-serve/src/host.rs
+++ b/crates/yucca-serve/src/host.rs
@@ -276,7 +276,8 @@
         let (version, routes) = (config.version, config.routes.len());
         let fields = format!("version={version} routes={routes}{origin}");
         log::write(Event::CatalogueChanged, &fields);
-        self.streams.set_limits(&config, self.now_ms());
+        let unseen_ms = self.relay.age_ms(Kind::Config);
+        self.streams.set_limits(&config, unseen_ms, self.now_ms());
         *self.config.borrow_mut() = Some(Rc::new(config));
     }
 
--- a/crates/yucca-serve/src/relay.rs
+++ b/crates/yucca-serve/src/relay.rs
@@ -553,10 +553,15 @@
         self.known.borrow()[index(kind)?].lasted_ms(self.now_ms())
     }
 
+    /// Returns the time since this host last had all changes of a kind; `None` if it never had.
+    pub(crate) fn age_ms(&self, kind: Kind) -> Option<u64> {
+        self.known.borrow()[index(kind)?].age_ms(self.now_ms())
+    }
+
     /// Whether this host had all changes of a kind a moment ago, within the time for which relays are relied on.
     pub(crate) fn is_current(&self, kind: Kind) -> bool {
-        let age_ms = index(kind).and_then(|at| self.known.borrow()[at].age_ms(self.now_ms()));
-        age_ms.is_some_and(|age_ms| age_ms <= self.fresh_ms)
+        self.age_ms(kind)
+            .is_some_and(|age_ms| age_ms <= self.fresh_ms)
     }
 
     /// Whether this host has watched a kind since it last relied on others for it.
--- a/crates/yucca-serve/src/stream_versions.rs
+++ b/crates/yucca-serve/src/stream_versions.rs
@@ -17,7 +17,7 @@
 use yuccacove::event::Event;
 use yuccacove::fleet_rate::HostId;
 use yuccacove::stream_lifetime::StreamLifetime;
-use yuccacove::stream_version::{Evidence, StreamId, StreamVersions, VersionId};
+use yuccacove::stream_version::{Evidence, OnlyVersions, StreamId, StreamVersions, VersionId};
 
 use crate::config::{RouteKind, ServingConfig};
 use crate::hash::hash_of;
@@ -90,9 +90,6 @@
     Answer(StreamAnswer),
 }
 
-/// The only version of each service within the lifetime of a stream, by the name of the service.
-pub type OnlyVersions = IndexMap<String, VersionId>;
-
 /// The versions of the engines that the store lists, by the name of the service.
 pub(crate) type ListedVersions = IndexMap<String, Vec<VersionId>>;
 
@@ -146,10 +143,11 @@
         }
     }
 
-    /// Applies the limits of a configuration to the streams that begin from now on.
-    pub(crate) fn set_limits(&self, config: &ServingConfig, now_ms: u64) {
-        let lifetime_ms = lifetime_by(config);
-        self.lifetime.borrow_mut().set_in_force(lifetime_ms, now_ms);
+    /// Applies the limits of a configuration to the streams that begin from now on. `unseen_ms` is how long ago
+    /// this host last knew that the configuration before was the latest; `None` if it never did.
+    pub(crate) fn set_limits(&self, config: &ServingConfig, unseen_ms: Option<u64>, now_ms: u64) {
+        let mut lifetime = self.lifetime.borrow_mut();
+        lifetime.set_in_force(lifetime_by(config), unseen_ms, now_ms);
     }
 
     /// Whether there are messages to send.
@@ -159,8 +157,12 @@
             || !self.answers.borrow().is_empty()
     }
 
-    /// Sets the record of the store, which was read at `read_ms`.
-    pub(crate) fn set_stored(&self, read_ms: u64, stored: OnlyVersions) {
+    /// Sets the record of the store, which was read at `read_ms` on the clock that also advances during
+    /// suspension.
+    pub(crate) fn set_stored(&self, read_ms: u64, stored: OnlyVersions, now_ms: u64) {
+        if let Some(lifetime_ms) = stored.lifetime_ms {
+            self.lifetime.borrow_mut().learn(lifetime_ms, now_ms);
+        }
         *self.stored.borrow_mut() = Some((read_ms, stored));
         self.record_read.notify_waiters();
     }
@@ -284,6 +286,11 @@
     host.streams.lifetime.borrow().longest_ms(host.now_ms())
 }
 
+/// Returns the lifetime of the streams that begin now.
+fn in_force_ms<B>(host: &Host<B>) -> u64 {
+    host.streams.lifetime.borrow().in_force_ms()
+}
+
 /// Returns how long ago a stream may have begun that still runs.
 fn span_ms<B>(host: &Host<B>) -> u64 {
     host.streams.lifetime.borrow().span_ms(host.now_ms())
@@ -296,7 +303,8 @@
     let directory = host.directory.borrow();
     let present = directory.versions(service, now_ms.saturating_sub(span_ms));
     let known_ms = host.relay.known_ms(Kind::BackEnds);
-    let has_watched = known_ms.is_some_and(|known_ms| known_ms >= span_ms);
+    let has_watched =
+        known_ms.is_some_and(|known_ms| known_ms >= span_ms) && is_lifetime_known(host);
     // Where engines name no version, there is nothing to tell apart.
     let is_unnamed = present == [version_id("")];
     Evidence {
@@ -372,18 +380,44 @@
     streams.is_announcing.set(is_announcing);
 }
 
-/// Returns the store's record; `None` if it was not read since this host was last out of step.
-fn current_record<B>(host: &Host<B>) -> Option<OnlyVersions> {
+/// Returns for how long this host has known all engines and all limits of streams without a gap; `None` if it
+/// may be out of step now.
+fn in_step_ms<B>(host: &Host<B>) -> Option<u64> {
+    let known_ms = host.relay.known_ms(Kind::BackEnds)?;
+    Some(known_ms.min(host.relay.known_ms(Kind::Config)?))
+}
+
+/// Returns the store's record with the time since it was read; `None` if it was not read since this host was last
+/// out of step.
+fn current_record<B>(host: &Host<B>) -> Option<(u64, OnlyVersions)> {
     let stored = host.streams.stored.borrow();
-    let (read_ms, versions) = stored.as_ref()?;
+    let (read_ms, stored) = stored.as_ref()?;
     let age_ms = host.relay.now_ms().saturating_sub(*read_ms);
-    let known_ms = host.relay.known_ms(Kind::BackEnds)?;
-    (age_ms <= known_ms + START_MS).then(|| versions.clone())
+    let is_current = age_ms <= in_step_ms(host)? + START_MS;
+    is_current.then(|| (age_ms, stored.clone()))
+}
+
+/// Whether this host knows how long the streams may live that began before it was in step: under limits that it
+/// never saw in force, of which the store's record tells.
+pub(crate) fn is_lifetime_known<B>(host: &Host<B>) -> bool {
+    host.config().is_some() && current_record(host).is_some()
 }
 
 /// Returns the only version of a service as the store's record has it.
 fn recorded_only<B>(host: &Host<B>, service: &str) -> Option<VersionId> {
-    current_record(host)?.get(service).copied()
+    let (age_ms, stored) = current_record(host)?;
+    only_stored(host, &stored, service, age_ms)
+}
+
+/// Returns the only version of a service by a record that was read or written `age_ms` ago, if that reaches back
+/// far enough.
+pub(crate) fn only_stored<B>(
+    host: &Host<B>,
+    stored: &OnlyVersions,
+    service: &str,
+    age_ms: u64,
+) -> Option<VersionId> {
+    stored.find(service, age_ms, span_ms(host), in_force_ms(host))
 }
 
 /// Whether neither this host nor the store's record can tell the only version of a service's engines. Asks
@@ -395,7 +429,8 @@
     };
     // Without an engine there is no stream.
     let is_unknown = !evidence.present.is_empty() && evidence.version().is_none();
-    if is_unknown && evidence.present.len() == 1 && current_record(host).is_none() {
+    let is_record_due = !evidence.present.is_empty() && current_record(host).is_none();
+    if is_record_due && in_step_ms(host).is_some() {
         host.streams.record_wanted.notify_one();
     }
     is_unknown
@@ -424,6 +459,8 @@
     }
     let observed_by_peer =
         stream.and_then(|stream| streams.observed_by_peer.borrow_mut().swap_remove(&stream));
+    // A host of an earlier build takes the limits in force for those of all streams.
+    let observed_by_peer = observed_by_peer.filter(|_| span_ms(host) <= in_force_ms(host));
     let mut evidence = Evidence {
         recorded: recorded(),
         observed_by_peer,
--- a/crates/yucca-serve/tests/stream_lifetimes.rs
+++ b/crates/yucca-serve/tests/stream_lifetimes.rs
@@ -8,6 +8,8 @@
 use common::version_fleet::{Begun, Fleet};
 use common::{run_virtual, wait_ms};
 use serde_json::{Value, json};
+use yucca_serve::ports::{Freshness, Kind, ObjectStore};
+use yucca_serve::version_record::RECORD_NAME;
 
 /// Time limit of the route while the streams of a test begin, and time that their callers wait.
 const LONG_MS: u64 = 10_000;
@@ -43,11 +45,15 @@
     SecondVersion,
     /// Those of version 1 leave.
     FirstVersionLeaves,
+    /// A host is killed and starts again at once.
+    Restart(usize),
+    /// All hosts are killed and start again.
+    RestartAll,
     /// Other callers send requests for so long.
     Wait(u64),
 }
 
-use Change::{Config, FirstVersionLeaves, SecondVersion, Wait};
+use Change::{Config, FirstVersionLeaves, Restart, RestartAll, SecondVersion, Wait};
 
 async fn play(fleet: &Fleet, changes: &[Change]) {
     for change in changes {
@@ -55,6 +61,8 @@
             Config(content) => fleet.put_config(content),
             SecondVersion => fleet.add_second_version().await,
             FirstVersionLeaves => fleet.remove_first_version().await,
+            Restart(at) => fleet.restart(*at),
+            RestartAll => fleet.restart_all().await,
             Wait(ms) => fleet.send_others(*ms).await,
         }
     }
@@ -173,3 +181,114 @@
         }
     }
 }
+
+/// Guards against hosts that started after a time limit was lowered, and take the lower one for the lifetime of
+/// the streams that began before.
+#[test]
+fn resume_after_timeout_lowered_unseen() {
+    let lowered = Config(limit(1_000));
+    let released = [SecondVersion, FirstVersionLeaves, Wait(4_000)];
+    let one_by_one = (0..7).flat_map(|at| [Restart(at), Wait(200)]);
+    // Changes after the streams have begun, and whether version 1 is still there.
+    let cases: [(&str, Vec<Change>, bool); 5] = [
+        (
+            "all start again after it",
+            [
+                vec![lowered.clone(), Wait(700), RestartAll],
+                released.to_vec(),
+            ]
+            .concat(),
+            false,
+        ),
+        (
+            "all start again with it",
+            [vec![lowered.clone(), RestartAll], released.to_vec()].concat(),
+            false,
+        ),
+        (
+            "all start again twice",
+            [
+                vec![lowered.clone(), RestartAll, RestartAll],
+                released.to_vec(),
+            ]
+            .concat(),
+            false,
+        ),
+        (
+            "one starts after the other",
+            [
+                vec![lowered.clone()],
+                one_by_one.collect(),
+                released.to_vec(),
+            ]
+            .concat(),
+            false,
+        ),
+        (
+            "all start again, one version serves",
+            vec![lowered, RestartAll, Wait(4_000)],
+            true,
+        ),
+    ];
+    for (hosts, loss) in [(7, 0.0), (7, 0.05)] {
+        for (name, changes, has_first) in &cases {
+            run_virtual(async {
+                let fleet = spawn(hosts, loss).await;
+                let begun = fleet.begin_some(12).await;
+                play(&fleet, changes).await;
+                resume(&fleet, &begun, *has_first, &format!("{name}, loss {loss}")).await;
+            });
+        }
+    }
+}
+
+/// Returns the record in the store of the services with one version.
+async fn stored_record(fleet: &Fleet) -> Value {
+    let record = fleet
+        .store
+        .read(Kind::Versions, RECORD_NAME, Freshness::Latest);
+    let record = record.await.expect("an answer").expect("a record");
+    record.value.expect("a value")
+}
+
+/// Guards against a record that a build without lifetimes cannot read, and against streams that are refused
+/// because such a build wrote the record.
+#[test]
+fn record_beside_earlier_build() {
+    run_virtual(async {
+        let fleet = spawn(7, 0.0).await;
+        let record = stored_record(&fleet).await;
+        let versions = record["versions"].as_object().expect("versions by service");
+        assert!(versions["model"].is_u64(), "{record}");
+        assert_eq!(record["lifetime_ms"], 15_000);
+        // As 2d529b6 writes it.
+        let earlier = json!({ "versions": versions });
+        fleet.store.put(Kind::Versions, RECORD_NAME, Some(earlier));
+        let begun = fleet.begin_some(12).await;
+        play(&fleet, &[RestartAll]).await;
+        resume(&fleet, &begun, true, "record of an earlier build").await;
+        play(&fleet, &[Wait(15_000)]).await;
+        assert_eq!(stored_record(&fleet).await, record);
+    });
+}
+
+/// Guards against a record that keeps the lifetime of streams that are long over, or is written again and again.
+#[test]
+fn record_lifetime_falls() {
+    run_virtual(async {
+        let fleet = spawn(7, 0.0).await;
+        let revision = async || {
+            let record = fleet
+                .store
+                .read(Kind::Versions, RECORD_NAME, Freshness::Latest);
+            record.await.expect("an answer").expect("a record").revision
+        };
+        play(&fleet, &[Config(limit(SHORT_MS)), Wait(10_000)]).await;
+        assert_eq!(stored_record(&fleet).await["lifetime_ms"], 15_000);
+        play(&fleet, &[Wait(30_000)]).await;
+        assert_eq!(stored_record(&fleet).await["lifetime_ms"], 3_750);
+        let before = revision().await;
+        play(&fleet, &[Wait(30_000)]).await;
+        assert_eq!(revision().await, before);
+    });
+}
--- a/src/stream_lifetime.rs
+++ b/src/stream_lifetime.rs
@@ -9,8 +9,8 @@
 //! use yuccacove::stream_lifetime::StreamLifetime;
 //!
 //! let mut lifetime = StreamLifetime::new(2_000);
-//! lifetime.set_in_force(15_000, 0);
-//! lifetime.set_in_force(4_000, 60_000);
+//! lifetime.set_in_force(15_000, None, 0);
+//! lifetime.set_in_force(4_000, Some(500), 60_000);
 //! assert_eq!(lifetime.longest_ms(70_000), 15_000, "earlier streams may still run");
 //! assert_eq!(lifetime.longest_ms(80_000), 4_000, "none of them does");
 //! ```
@@ -76,23 +76,44 @@
         }
     }
 
-    /// Replaces the limits in force by those that let a stream live for `lifetime_ms`.
-    pub fn set_in_force(&mut self, lifetime_ms: u64, now_ms: u64) {
+    /// Replaces the limits in force by those that let a stream live for `lifetime_ms`. `unseen_ms` is how long
+    /// ago this host last knew that the limits before were in force; `None` if it never did.
+    pub fn set_in_force(&mut self, lifetime_ms: u64, unseen_ms: Option<u64>, now_ms: u64) {
         let ended = self.in_force;
         if ended.is_some_and(|ended| ended.lifetime_ms == lifetime_ms) {
             return;
         }
+        // Another host may have applied them earlier.
+        let unseen_ms = unseen_ms.map(|unseen_ms| unseen_ms.max(self.spread_ms));
         self.in_force = Some(Limit {
             lifetime_ms,
-            // Another host may have applied them earlier, and nobody knows what was before the first ones.
-            since_ms: ended.map(|_| now_ms.saturating_sub(self.spread_ms)),
+            since_ms: ended
+                .and(unseen_ms)
+                .map(|unseen_ms| now_ms.saturating_sub(unseen_ms)),
             until_ms: u64::MAX,
         });
         if let Some(ended) = ended {
-            let until_ms = now_ms
-                .saturating_add(ended.lifetime_ms)
-                .saturating_add(self.spread_ms);
-            self.add(Limit { until_ms, ..ended }, now_ms);
+            self.add(self.ending(ended, now_ms), now_ms);
+        }
+    }
+
+    /// Records that a stream that has begun by now may live for `lifetime_ms`, by limits that this host may
+    /// never have seen in force.
+    pub fn learn(&mut self, lifetime_ms: u64, now_ms: u64) {
+        let limit = Limit {
+            lifetime_ms,
+            since_ms: None,
+            until_ms: now_ms,
+        };
+        self.add(self.ending(limit, now_ms), now_ms);
+    }
+
+    /// Returns a limit under which no stream begins any more once all hosts have applied the present one.
+    fn ending(&self, limit: Limit, now_ms: u64) -> Limit {
+        let left_ms = limit.lifetime_ms.saturating_add(self.spread_ms);
+        Limit {
+            until_ms: now_ms.saturating_add(left_ms),
+            ..limit
         }
     }
 
@@ -117,6 +138,11 @@
         all.filter(move |limit| limit.until_ms >= now_ms)
     }
 
+    /// Returns the lifetime by the limits in force; 0 before the first ones.
+    pub fn in_force_ms(&self) -> u64 {
+        self.in_force.map_or(0, |limit| limit.lifetime_ms)
+    }
+
     /// Returns the longest lifetime of a stream that runs, or begins now.
     pub fn longest_ms(&self, now_ms: u64) -> u64 {
         let lifetimes = self.limits(now_ms).map(|limit| limit.lifetime_ms);
--- a/src/stream_version.rs
+++ b/src/stream_version.rs
@@ -190,3 +190,30 @@
         is_confirmed.then_some(version)
     }
 }
+
+/// The services whose engines had one version only for as long as any stream lasts, as a host has written it.
+#[derive(Debug, Default, Clone, PartialEq, Eq)]
+pub struct OnlyVersions {
+    /// That version, by the name of the service.
+    pub by_service: IndexMap<String, VersionId>,
+    /// Longest lifetime of a stream that ran when this was written; `None` if an earlier build wrote it, which
+    /// takes the limits in force for those of all streams, or if nobody did.
+    pub lifetime_ms: Option<u64>,
+}
+
+impl OnlyVersions {
+    /// Returns the only version of a service, if that reaches back far enough. The host read or wrote this `age_ms`
+    /// ago and has watched the engines since, a stream that runs may have begun `span_ms` ago, and the limits in
+    /// force let one live for `in_force_ms`.
+    pub fn find(
+        &self,
+        service: &str,
+        age_ms: u64,
+        span_ms: u64,
+        in_force_ms: u64,
+    ) -> Option<VersionId> {
+        let lifetime_ms = self.lifetime_ms.unwrap_or(in_force_ms);
+        let is_covered = span_ms <= lifetime_ms.saturating_add(age_ms);
+        self.by_service.get(service).copied().filter(|_| is_covered)
+    }
+}
--- a/tests/stream_lifetime.rs
+++ b/tests/stream_lifetime.rs
@@ -11,7 +11,7 @@
 fn after(changes: &[(u64, u64)]) -> StreamLifetime {
     let mut lifetime = StreamLifetime::new(SPREAD_MS);
     for (lifetime_ms, now_ms) in changes {
-        lifetime.set_in_force(*lifetime_ms, *now_ms);
+        lifetime.set_in_force(*lifetime_ms, Some(500), *now_ms);
     }
     lifetime
 }
@@ -89,8 +89,36 @@
 fn lifetime_after_many_changes() {
     let mut lifetime = StreamLifetime::new(SPREAD_MS);
     for number in 0..10_000 {
-        lifetime.set_in_force(LONG_MS - number, number);
+        lifetime.set_in_force(LONG_MS - number, Some(500), number);
     }
     assert_eq!(lifetime.longest_ms(10_000), LONG_MS);
     assert_eq!(lifetime.longest_ms(40_000), LONG_MS - 9_999);
 }
+
+/// Guards against a host that was out of step while the limits were raised, and takes the time at which it learnt
+/// of them for that from which on streams live longer.
+#[test]
+fn lifetime_raised_unseen() {
+    let mut lifetime = after(&[(SHORT_MS, 0)]);
+    lifetime.set_in_force(LONG_MS, Some(9_000), 100_000);
+    assert_eq!(lifetime.span_ms(100_000), 9_000);
+    assert_eq!(lifetime.span_ms(103_000), 12_000);
+    let mut lifetime = after(&[(SHORT_MS, 0)]);
+    lifetime.set_in_force(LONG_MS, None, 100_000);
+    assert_eq!(lifetime.span_ms(100_000), LONG_MS);
+}
+
+/// Guards against a host that has just started and knows only the limits that are in force now.
+#[test]
+fn lifetime_learned() {
+    let mut lifetime = after(&[(SHORT_MS, 0)]);
+    lifetime.learn(LONG_MS, 1_000);
+    let found =
+        |lifetime: &StreamLifetime, now_ms| (lifetime.longest_ms(now_ms), lifetime.span_ms(now_ms));
+    assert_eq!(found(&lifetime, 18_000), (LONG_MS, LONG_MS));
+    assert_eq!(found(&lifetime, 18_001), (SHORT_MS, SHORT_MS));
+    assert_eq!(lifetime.in_force_ms(), SHORT_MS);
+    // Shorter ones add nothing.
+    lifetime.learn(SHORT_MS - 1, 20_000);
+    assert_eq!(found(&lifetime, 20_000), (SHORT_MS, SHORT_MS));
+}
--- a/tests/stream_version.rs
+++ b/tests/stream_version.rs
@@ -1,6 +1,8 @@
 //! Tests at which software version a stream goes on, by what a host knows.
 
-use yuccacove::stream_version::{Evidence, StreamId, StreamVersions, VersionHistory, VersionId};
+use yuccacove::stream_version::{
+    Evidence, OnlyVersions, StreamId, StreamVersions, VersionHistory, VersionId,
+};
 
 const OLD: VersionId = VersionId(1);
 const NEW: VersionId = VersionId(2);
@@ -149,3 +151,30 @@
     history.forget(901);
     assert!(history.is_empty());
 }
+
+/// Guards against a record that is taken for proof though it does not reach back to all streams that run, as one of
+/// an earlier build after the limits were lowered.
+#[test]
+fn only_versions_find() {
+    // Lifetime in the record, its age, how long ago a stream may have begun, and whether the record counts.
+    let cases = [
+        (Some(15_000), 0, 15_000, true),
+        (Some(15_000), 0, 15_001, false),
+        (Some(15_000), 1, 15_001, true),
+        (Some(4_000), 0, 15_000, false),
+        (Some(4_000), 11_000, 15_000, true),
+        (None, 0, 4_000, true),
+        (None, 0, 15_000, false),
+        (None, 11_000, 15_000, true),
+    ];
+    for (lifetime_ms, age_ms, span_ms, is_found) in cases {
+        let record = OnlyVersions {
+            by_service: [("model".to_owned(), OLD)].into(),
+            lifetime_ms,
+        };
+        let found = record.find("model", age_ms, span_ms, 4_000);
+        let case = (lifetime_ms, age_ms, span_ms);
+        assert_eq!(found, is_found.then_some(OLD), "{case:?}");
+        assert_eq!(record.find("other", age_ms, span_ms, 4_000), None);
+    }
+}
