Keep a stream's version for as long as its caller waits

Callers whose deadline is several times the time limit of the route saw streams of two software versions, or were refused beside engines of theirs: a host ends each try at the limit, the caller takes the stream up again, and after 1.5 times the limit nobody remembered it. A lowered time-out makes this usual, as callers' deadlines do not follow it.

Cause: the lifetime of a stream followed from the limits alone, with the note that callers' deadlines may exceed it.

Change: the deadline with which a caller begins a stream counts as its lifetime if it is longer than that by the limits: for the record, for how far back a proof of one version reaches, and in the store's record. It is rounded up and capped, so that callers cannot keep hosts from inferring versions. A host keeps what others tell for a minute at least, as it does not know how long their callers wait, and tells others only what it has seen itself, so that these do not multiply.

--- a/crates/yucca-serve/src/stream.rs
+++ b/crates/yucca-serve/src/stream.rs
@@ -77,7 +77,8 @@
     }
     let host = &context.host;
     let resumed_id = context.request.resumed_id.as_deref();
-    let version = stream_versions::version_of(host, &context.service, resumed_id).await;
+    let wait_ms = context.request.deadline_ms;
+    let version = stream_versions::version_of(host, &context.service, resumed_id, wait_ms).await;
     let Some(KnownVersion { version, has_begun }) = version else {
         return Err(Box::new(context.refuse(Code::VersionUnknown)));
     };
@@ -710,7 +711,8 @@
     }
     let version = context.host.directory.borrow().get(key).version();
     context.required_version.set(Some(version));
-    stream_versions::record_begin(&context.host, &context.request.id, version);
+    let request = &context.request;
+    stream_versions::record_begin(&context.host, &request.id, version, request.deadline_ms);
 }
 
 /// Returns the part of the buffer of an incomplete event for which memory is reserved.
--- a/crates/yucca-serve/src/stream_journal.rs
+++ b/crates/yucca-serve/src/stream_journal.rs
@@ -106,7 +106,7 @@
     let objects = store.list(Kind::Streams, Freshness::Latest).await?.objects;
     for object in &objects {
         for (stream, version) in decode(object) {
-            stream_versions::remember(host, stream, version);
+            stream_versions::remember_told(host, stream, version);
         }
     }
     Ok(objects)
--- a/crates/yucca-serve/src/stream_versions.rs
+++ b/crates/yucca-serve/src/stream_versions.rs
@@ -25,13 +25,16 @@
 use crate::ports::Kind;
 
 /// Longest time between the first event of a stream and its last resumption, as a multiple of the
-/// longest time limit of the routes. Callers' deadlines may exceed that.
+/// longest time limit of the routes. Callers that wait for longer count by themselves.
 const LIFETIME_FACTOR: f64 = 1.5;
 /// Up to this many other hosts, all of them learn the versions of streams; in a larger fleet some do,
 /// which follow from the stream's id.
 const SMALL_FLEET: usize = 16;
 /// Number of those hosts in a larger fleet. Some may have stopped a moment ago.
 const REPLICAS: usize = 5;
+/// Shortest time for which a stream of another host is remembered. Its caller may wait for longer than those of
+/// this host.
+const MIN_TOLD_MS: u64 = 60_000;
 /// Maximum number of notes in one datagram.
 const MAX_NOTES: usize = 60;
 /// Maximum number of answers that no request has taken.
@@ -96,7 +99,10 @@
 /// What this host knows of the versions of streams, and messages to send.
 #[derive(Debug)]
 pub struct HostStreams {
+    /// Streams that began or went on at this host.
     memory: RefCell<StreamVersions>,
+    /// Streams of which other hosts or the journal have told.
+    told: RefCell<StreamVersions>,
     lifetime: RefCell<StreamLifetime>,
     /// Whether other hosts could not infer the versions of this host's streams.
     is_announcing: Cell<bool>,
@@ -126,6 +132,7 @@
     pub(crate) fn new(spread_ms: u64) -> Self {
         Self {
             memory: RefCell::default(),
+            told: RefCell::default(),
             lifetime: RefCell::new(StreamLifetime::new(spread_ms)),
             is_announcing: Cell::default(),
             checked_ms: Cell::default(),
@@ -181,7 +188,8 @@
     }
 
     fn recorded(&self, stream: StreamId) -> Option<VersionId> {
-        self.memory.borrow().find(stream)
+        let own = self.memory.borrow().find(stream);
+        own.or_else(|| self.told.borrow().find(stream))
     }
 
     fn record_observed(&self, stream: StreamId, version: VersionId) {
@@ -332,18 +340,36 @@
     services.any(|service| directory.versions(&service, since_ms).len() > 1)
 }
 
-/// Remembers the version of a stream.
-pub(crate) fn remember<B>(host: &Host<B>, stream: StreamId, version: VersionId) {
+/// Remembers the version of a stream that began or went on at this host, whose caller waits for `wait_ms` if it
+/// says so.
+fn remember<B>(host: &Host<B>, stream: StreamId, version: VersionId, wait_ms: Option<u64>) {
     let now_ms = host.now_ms();
+    if let Some(wait_ms) = wait_ms {
+        host.streams.lifetime.borrow_mut().begin(wait_ms, now_ms);
+    }
     let until_ms = now_ms.saturating_add(lifetime_ms(host));
     let mut memory = host.streams.memory.borrow_mut();
     memory.record(stream, version, until_ms, now_ms);
 }
 
-/// Records the version with which a stream began, and tells it to other hosts if they could not infer it.
-pub(crate) fn record_begin<B>(host: &Host<B>, request_id: &str, version: VersionId) {
+/// Remembers the version of a stream of which another host or the journal has told.
+pub(crate) fn remember_told<B>(host: &Host<B>, stream: StreamId, version: VersionId) {
+    let now_ms = host.now_ms();
+    let until_ms = now_ms.saturating_add(lifetime_ms(host).max(MIN_TOLD_MS));
+    let mut told = host.streams.told.borrow_mut();
+    told.record(stream, version, until_ms, now_ms);
+}
+
+/// Records the version with which a stream began whose caller waits for `wait_ms`, and tells it to other hosts if
+/// they could not infer it.
+pub(crate) fn record_begin<B>(
+    host: &Host<B>,
+    request_id: &str,
+    version: VersionId,
+    wait_ms: Option<u64>,
+) {
     let stream = stream_id(request_id);
-    remember(host, stream, version);
+    remember(host, stream, version, wait_ms);
     if host.streams.is_announcing.get() {
         announce(host, [(stream, version)]);
     }
@@ -361,7 +387,7 @@
     host.peer_updates.notify_one();
 }
 
-/// Tells other hosts the versions of all streams that this host remembers as soon as engines of a
+/// Tells other hosts the versions of all streams that began or went on at this host as soon as engines of a
 /// service have several versions, or this host cannot know that they have not.
 pub(crate) fn check_announcing<B>(host: &Host<B>) {
     let streams = &host.streams;
@@ -445,11 +471,13 @@
 }
 
 /// Returns the version at which a stream has to go on that its caller resumes; `None` if it is not known.
-/// `request_id` is the try that brought the first event, as the caller names it.
+/// `request_id` is the try that brought the first event, as the caller names it, and `wait_ms` how long the caller
+/// waits.
 pub(crate) async fn version_of<B>(
     host: &Host<B>,
     service: &str,
     request_id: Option<&str>,
+    wait_ms: Option<u64>,
 ) -> Option<KnownVersion> {
     let stream = request_id.map(stream_id);
     let streams = &host.streams;
@@ -481,7 +509,7 @@
     let version = evidence.confirmed_version()?;
     let has_begun = evidence.recorded.is_some();
     if let Some(stream) = stream.filter(|_| has_begun) {
-        remember(host, stream, version);
+        remember(host, stream, version, wait_ms);
     }
     Some(KnownVersion { version, has_begun })
 }
@@ -557,7 +585,7 @@
         StreamMessage::Notes(notes) => {
             for note in notes {
                 let (stream, version) = (StreamId(note.stream), VersionId(note.version));
-                remember(host, stream, version);
+                remember_told(host, stream, version);
                 let streams = &host.streams;
                 streams.add_unwritten([(stream, version)], host.now_ms());
             }
@@ -566,7 +594,7 @@
         StreamMessage::Answer(answer) => {
             let (stream, version) = (StreamId(answer.stream), VersionId(answer.version));
             if answer.is_recorded {
-                remember(host, stream, version);
+                remember_told(host, stream, version);
             } else {
                 host.streams.record_observed(stream, version);
             }
--- a/crates/yucca-serve/tests/stream_lifetimes.rs
+++ b/crates/yucca-serve/tests/stream_lifetimes.rs
@@ -283,6 +283,7 @@
                 .read(Kind::Versions, RECORD_NAME, Freshness::Latest);
             record.await.expect("an answer").expect("a record").revision
         };
+        fleet.deadline_ms.set(Some(SHORT_MS));
         play(&fleet, &[Config(limit(SHORT_MS)), Wait(10_000)]).await;
         assert_eq!(stored_record(&fleet).await["lifetime_ms"], 15_000);
         play(&fleet, &[Wait(30_000)]).await;
@@ -292,3 +293,57 @@
         assert_eq!(revision().await, before);
     });
 }
+
+/// Begins streams whose callers wait for longer than the limits allow, beside others, plays `changes` and
+/// resumes them.
+async fn play_many_tries(hosts: usize, loss: f64, changes: &[Change], has_first: bool, case: &str) {
+    let fleet = Fleet::spawn(hosts, loss).await;
+    fleet.put_config(&limit(1_000));
+    fleet.deadline_ms.set(Some(1_000));
+    wait_ms(WATCHED_MS).await;
+    fleet.deadline_ms.set(Some(LONG_MS));
+    let begun = fleet.begin_some(12).await;
+    fleet.deadline_ms.set(Some(1_000));
+    play(&fleet, &[Wait(700)]).await;
+    play(&fleet, changes).await;
+    resume(&fleet, &begun, has_first, &format!("{case}, {hosts} hosts")).await;
+}
+
+/// Guards against streams whose callers wait for several times the time limit of the route, and take them up again
+/// after the host has ended each of their tries.
+#[test]
+fn resume_after_many_tries() {
+    let released = vec![SecondVersion, FirstVersionLeaves, Wait(3_000)];
+    let restarted = [vec![RestartAll], released.clone()].concat();
+    let both = vec![SecondVersion, Wait(6_000)];
+    run_virtual(play_many_tries(
+        7,
+        0.05,
+        &released,
+        false,
+        "version 1 leaves",
+    ));
+    run_virtual(play_many_tries(
+        60,
+        0.0,
+        &released,
+        false,
+        "version 1 leaves",
+    ));
+    run_virtual(play_many_tries(7, 0.05, &both, true, "both versions serve"));
+    run_virtual(play_many_tries(60, 0.0, &both, true, "both versions serve"));
+    run_virtual(play_many_tries(
+        7,
+        0.05,
+        &restarted,
+        false,
+        "all start again",
+    ));
+}
+
+/// Guards against the same after all hosts have started again, where none of the streams began at the lease holder.
+#[test]
+fn resume_after_many_tries_lost_hosts() {
+    let changes = [RestartAll, SecondVersion, FirstVersionLeaves, Wait(3_000)];
+    run_virtual(play_many_tries(60, 0.0, &changes, false, "all start again"));
+}
--- a/src/stream_lifetime.rs
+++ b/src/stream_lifetime.rs
@@ -3,7 +3,8 @@
 //! A stream keeps the limits under which it began. When a configuration lowers them, the streams that
 //! began before live on under the earlier ones, so that what tells their versions has to be kept, and
 //! what proves that there was one version has to reach back, for as long as the earlier limits allow.
-//! Higher limits hold for the streams that begin from then on.
+//! Higher limits hold for the streams that begin from then on. A caller that waits for longer than the limits
+//! allow may take its stream up again until it has waited for so long.
 //!
 //! ```
 //! use yuccacove::stream_lifetime::StreamLifetime;
@@ -17,6 +18,9 @@
 
 /// Maximum number of earlier limits that are told apart.
 const MAX_EARLIER: usize = 4;
+/// Longest wait of a caller that counts. A caller that names a longer one would keep hosts from inferring versions
+/// for as long.
+const MAX_WAIT_MS: u64 = 300_000;
 
 /// Lifetime of the streams that began in some span of time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -97,6 +101,22 @@
         }
     }
 
+    /// Records that a stream begins now whose caller waits for `wait_ms`. It may take the stream up again after each
+    /// try that its limits end, for longer than these allow.
+    pub fn begin(&mut self, wait_ms: u64, now_ms: u64) {
+        if wait_ms <= self.in_force_ms() {
+            return;
+        }
+        // Rounded up, so that few lifetimes are told apart.
+        let lifetime_ms = wait_ms.min(MAX_WAIT_MS).next_power_of_two();
+        let limit = Limit {
+            lifetime_ms,
+            since_ms: Some(now_ms),
+            until_ms: now_ms.saturating_add(lifetime_ms),
+        };
+        self.add(limit, now_ms);
+    }
+
     /// Records that a stream that has begun by now may live for `lifetime_ms`, by limits that this host may
     /// never have seen in force.
     pub fn learn(&mut self, lifetime_ms: u64, now_ms: u64) {
@@ -118,11 +138,14 @@
     }
 
     fn add(&mut self, limit: Limit, now_ms: u64) {
-        self.earlier
-            .retain(|held| held.until_ms >= now_ms && !held.is_within(&limit));
+        self.earlier.retain(|held| held.until_ms >= now_ms);
         if self.limits(now_ms).any(|held| limit.is_within(held)) {
             return;
         }
+        let of_same = |held: &&Limit| held.lifetime_ms == limit.lifetime_ms;
+        let same = self.earlier.iter().find(of_same);
+        let limit = same.map_or(limit, |same| limit.union(*same));
+        self.earlier.retain(|held| !held.is_within(&limit));
         self.earlier.push(limit);
         self.earlier.sort_by_key(|held| u64::MAX - held.lifetime_ms);
         while self.earlier.len() > MAX_EARLIER
--- a/tests/stream_lifetime.rs
+++ b/tests/stream_lifetime.rs
@@ -7,8 +7,10 @@
 const SHORT_MS: u64 = 4_000;
 const LONG_MS: u64 = 15_000;
 
-/// Returns the state after `changes`, each the lifetime by new limits and the time at which they were applied.
-fn after(changes: &[(u64, u64)]) -> StreamLifetime {
+/// Lifetime by new limits, and the time at which they were applied.
+type Change = (u64, u64);
+
+fn after(changes: &[Change]) -> StreamLifetime {
     let mut lifetime = StreamLifetime::new(SPREAD_MS);
     for (lifetime_ms, now_ms) in changes {
         lifetime.set_in_force(*lifetime_ms, Some(500), *now_ms);
@@ -31,7 +33,7 @@
         (SHORT_MS, 102_000),
     ];
     // Changes, a time, the longest lifetime, and how long ago a live stream may have begun.
-    let cases: [(&str, &[(u64, u64)], u64, u64, u64); 14] = [
+    let cases: [(&str, &[Change], u64, u64, u64); 14] = [
         ("first limits", &[(LONG_MS, 0)], 1_000, LONG_MS, LONG_MS),
         (
             "the same again",
@@ -122,3 +124,30 @@
     lifetime.learn(SHORT_MS - 1, 20_000);
     assert_eq!(found(&lifetime, 20_000), (SHORT_MS, SHORT_MS));
 }
+
+/// Guards against streams that outlast what tells their version because their callers wait for longer than the
+/// limits in force allow, over several tries.
+#[test]
+fn lifetime_of_waiting_callers() {
+    let mut lifetime = after(&[(SHORT_MS, 0)]);
+    lifetime.begin(SHORT_MS, 1_000);
+    assert_eq!(lifetime.longest_ms(1_000), SHORT_MS);
+    lifetime.begin(10_000, 50_000);
+    lifetime.begin(9_000, 55_000);
+    assert!(lifetime.longest_ms(65_000) >= 10_000);
+    assert_eq!(
+        lifetime.span_ms(51_000),
+        SHORT_MS,
+        "none has run for so long"
+    );
+    assert_eq!(lifetime.span_ms(59_000), 9_000);
+    assert!(
+        lifetime.span_ms(64_000) >= 10_000,
+        "the first one began 14 s ago, the second one 9 s"
+    );
+    assert_eq!(lifetime.longest_ms(72_000), SHORT_MS);
+    // A caller cannot ask for any time.
+    lifetime.begin(u64::MAX, 100_000);
+    assert!(lifetime.longest_ms(100_000) <= 600_000);
+    assert_eq!(lifetime.longest_ms(800_000), SHORT_MS);
+}
