Remember software versions for as long as streams live

With a time limit of over 80 s hosts forgot a software version 120 s after its last engine had left, while streams that began with it may live for longer: one version then counted as the only one within their lifetime (found while reading where a lifetime is assumed; not seen by callers).

Cause: the history of versions used the retention of engines' records.

Change: the history is kept for the longest lifetime of a stream if that is longer. remove_departed_keeps_versions failed before (1 version, 2 expected) and passes.

--- a/crates/yucca-serve/src/directory.rs
+++ b/crates/yucca-serve/src/directory.rs
@@ -302,6 +302,8 @@
     has_full_listing: bool,
     /// Software versions of backends that have left or changed it, by service.
     versions: IndexMap<String, VersionHistory>,
+    /// Time for which they are remembered if that is longer than [`RETENTION_MS`].
+    version_lifetime_ms: u64,
     /// Era of the store's latest changes.
     era: u64,
     /// Time in which the entries of silent backends are removed.
@@ -674,6 +676,12 @@
         }
     }
 
+    /// Sets the time for which software versions are remembered after they were last there, at least
+    /// [`RETENTION_MS`].
+    pub fn keep_versions(&mut self, lifetime_ms: u64) {
+        self.version_lifetime_ms = lifetime_ms;
+    }
+
     /// Removes the records of the backends that have left long ago. While the store does not answer
     /// they are kept, because its entries may be those that are missing.
     pub fn remove_departed(&mut self, now_ms: u64) {
@@ -683,7 +691,8 @@
         }
         self.removed_ms = now_ms;
         // Other writers may name any service and version.
-        let forgotten_ms = now_ms.saturating_sub(RETENTION_MS);
+        let kept_ms = self.version_lifetime_ms.max(RETENTION_MS);
+        let forgotten_ms = now_ms.saturating_sub(kept_ms);
         self.versions.retain(|_, history| {
             history.forget(forgotten_ms);
             !history.is_empty()
--- a/crates/yucca-serve/src/follow.rs
+++ b/crates/yucca-serve/src/follow.rs
@@ -18,6 +18,7 @@
 use crate::recency::ConfigRecency;
 use crate::relay::Relay;
 use crate::revision::{era_of, number_of};
+use crate::stream_versions;
 use crate::unusable_entries;
 
 /// Time for which a watch waits for changes, as a fraction of the bound within which a change must
@@ -271,7 +272,10 @@
     for change in changes {
         log_change(host, change, objects.revision);
     }
-    host.directory.borrow_mut().remove_departed(now_ms);
+    let lifetime_ms = stream_versions::lifetime_ms(host);
+    let mut directory = host.directory.borrow_mut();
+    directory.keep_versions(lifetime_ms);
+    directory.remove_departed(now_ms);
 }
 
 /// Applies the state of an object; `entry` is its content if that describes a backend.
--- a/crates/yucca-serve/tests/directory.rs
+++ b/crates/yucca-serve/tests/directory.rs
@@ -264,6 +264,28 @@
     assert_eq!(directory.len(), 1);
 }
 
+/// Guards against a software version that is forgotten while streams may run that began with it.
+#[test]
+fn remove_departed_keeps_versions() {
+    let lifetime_ms = RETENTION_MS + 30_000;
+    let mut directory = with(&["i-1", "i-2"]);
+    let newer = BackendEntry {
+        software: "v2".into(),
+        ..desk()
+    };
+    directory.apply_entry("i-2", 2, newer, 0);
+    directory.apply_removal("i-1", 3, 0);
+    directory.keep_versions(lifetime_ms);
+    let mut versions_at = |now_ms: u64| {
+        directory.remove_departed(now_ms);
+        directory
+            .versions("desk", now_ms.saturating_sub(lifetime_ms))
+            .len()
+    };
+    assert_eq!(versions_at(RETENTION_MS + 20_000), 2);
+    assert_eq!(versions_at(RETENTION_MS + 40_000), 1);
+}
+
 /// Guards against memory that grows with each engine that comes and goes.
 #[test]
 fn remove_departed_spot_engines() {
