--- a/src/stream_lifetime.rs
+++ b/src/stream_lifetime.rs
@@ -18,9 +18,9 @@
 
 /// Maximum number of earlier limits that are told apart.
 const MAX_EARLIER: usize = 4;
-/// Longest wait of a caller that counts. A caller that names a longer one would keep hosts from inferring versions
-/// for as long.
-const MAX_WAIT_MS: u64 = 300_000;
+/// Longest wait of a caller that counts. A caller that names a longer one would keep hosts from inferring versions,
+/// and make the journal larger, for as long.
+const MAX_WAIT_MS: u64 = 60_000;
 
 /// Lifetime of the streams that began in some span of time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
