Tell a resumption to other hosts like a beginning

In a fleet of over 16 hosts a caller that had taken its stream up again for longer than the stream's record lives was refused beside engines of its version: 2 of 17 went on after 100 s.

Change: a host that lets a stream go on tells it like one that began, while versions are told at all. resume_over_long_wait failed before and passes.

--- a/crates/yucca-serve/src/stream_versions.rs
+++ b/crates/yucca-serve/src/stream_versions.rs
@@ -340,16 +340,21 @@
     services.any(|service| directory.versions(&service, since_ms).len() > 1)
 }
 
-/// Remembers the version of a stream that began or went on at this host, whose caller waits for `wait_ms` if it
-/// says so.
-fn remember<B>(host: &Host<B>, stream: StreamId, version: VersionId, wait_ms: Option<u64>) {
+/// Remembers the version of a stream that begins or goes on at this host, whose caller waits for `wait_ms` if it
+/// says so, and tells it to other hosts if they could not infer it.
+fn record<B>(host: &Host<B>, stream: StreamId, version: VersionId, wait_ms: Option<u64>) {
     let now_ms = host.now_ms();
+    let streams = &host.streams;
     if let Some(wait_ms) = wait_ms {
-        host.streams.lifetime.borrow_mut().begin(wait_ms, now_ms);
+        streams.lifetime.borrow_mut().begin(wait_ms, now_ms);
     }
     let until_ms = now_ms.saturating_add(lifetime_ms(host));
-    let mut memory = host.streams.memory.borrow_mut();
+    let mut memory = streams.memory.borrow_mut();
     memory.record(stream, version, until_ms, now_ms);
+    drop(memory);
+    if streams.is_announcing.get() {
+        announce(host, [(stream, version)]);
+    }
 }
 
 /// Remembers the version of a stream of which another host or the journal has told.
@@ -360,19 +365,14 @@
     told.record(stream, version, until_ms, now_ms);
 }
 
-/// Records the version with which a stream began whose caller waits for `wait_ms`, and tells it to other hosts if
-/// they could not infer it.
+/// Records the version with which a stream begins whose caller waits for `wait_ms`.
 pub(crate) fn record_begin<B>(
     host: &Host<B>,
     request_id: &str,
     version: VersionId,
     wait_ms: Option<u64>,
 ) {
-    let stream = stream_id(request_id);
-    remember(host, stream, version, wait_ms);
-    if host.streams.is_announcing.get() {
-        announce(host, [(stream, version)]);
-    }
+    record(host, stream_id(request_id), version, wait_ms);
 }
 
 /// Tells other hosts the versions of streams.
@@ -509,7 +509,8 @@
     let version = evidence.confirmed_version()?;
     let has_begun = evidence.recorded.is_some();
     if let Some(stream) = stream.filter(|_| has_begun) {
-        remember(host, stream, version, wait_ms);
+        // Its caller may take it up again later than the other hosts remember its beginning.
+        record(host, stream, version, wait_ms);
     }
     Some(KnownVersion { version, has_begun })
 }
--- a/crates/yucca-serve/tests/stream_lifetimes.rs
+++ b/crates/yucca-serve/tests/stream_lifetimes.rs
@@ -347,3 +347,20 @@
     let changes = [RestartAll, SecondVersion, FirstVersionLeaves, Wait(3_000)];
     run_virtual(play_many_tries(60, 0.0, &changes, false, "all start again"));
 }
+
+/// Guards against hosts of a large fleet that forget a stream whose caller has taken it up again and again.
+#[test]
+fn resume_over_long_wait() {
+    run_virtual(async {
+        let fleet = spawn(60, 0.0).await;
+        fleet.deadline_ms.set(Some(400_000));
+        fleet.add_second_version().await;
+        let begun = fleet.begin_some(24).await;
+        let begun: Vec<Begun> = begun.into_iter().filter(|b| b.version == "v1").collect();
+        fleet.deadline_ms.set(Some(LONG_MS));
+        for waited_s in (50..=200).step_by(50) {
+            play(&fleet, &[Wait(50_000)]).await;
+            resume(&fleet, &begun, true, &format!("after {waited_s} s")).await;
+        }
+    });
+}
