--- a/crates/yucca-serve/src/stream_versions.rs
+++ b/crates/yucca-serve/src/stream_versions.rs
@@ -97,7 +97,7 @@
 pub(crate) type ListedVersions = IndexMap<String, Vec<VersionId>>;
 
 /// What this host knows of the versions of streams, and messages to send.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct HostStreams {
     /// Streams that began or went on at this host.
     memory: RefCell<StreamVersions>,
@@ -131,22 +131,8 @@
     /// Creates the state before the first configuration. All hosts apply a change of it within `spread_ms`.
     pub(crate) fn new(spread_ms: u64) -> Self {
         Self {
-            memory: RefCell::default(),
-            told: RefCell::default(),
             lifetime: RefCell::new(StreamLifetime::new(spread_ms)),
-            is_announcing: Cell::default(),
-            checked_ms: Cell::default(),
-            notes: RefCell::default(),
-            questions: RefCell::default(),
-            answers: RefCell::default(),
-            observed_by_peer: RefCell::default(),
-            stored: RefCell::default(),
-            record_wanted: Notify::default(),
-            record_read: Notify::default(),
-            unwritten: RefCell::default(),
-            journal_wanted: Notify::default(),
-            journal_read: Notify::default(),
-            listed: RefCell::default(),
+            ..Self::default()
         }
     }
 
@@ -447,7 +433,7 @@
 }
 
 /// Whether neither this host nor the store's record can tell the only version of a service's engines. Asks
-/// for the record if that may tell it.
+/// for the record if this host has not read it since it was last out of step.
 fn is_version_unknown<B>(host: &Host<B>, service: &str) -> bool {
     let evidence = Evidence {
         stored: recorded_only(host, service),
@@ -455,8 +441,7 @@
     };
     // Without an engine there is no stream.
     let is_unknown = !evidence.present.is_empty() && evidence.version().is_none();
-    let is_record_due = !evidence.present.is_empty() && current_record(host).is_none();
-    if is_record_due && in_step_ms(host).is_some() {
+    if is_unknown && current_record(host).is_none() && in_step_ms(host).is_some() {
         host.streams.record_wanted.notify_one();
     }
     is_unknown
--- a/src/stream_lifetime.rs
+++ b/src/stream_lifetime.rs
@@ -60,7 +60,7 @@
 }
 
 /// Lifetimes of the streams that run, or may begin now. All times are on the clock of one host.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct StreamLifetime {
     /// Time within which other hosts apply a change of the limits that this host has applied.
     spread_ms: u64,
@@ -75,8 +75,7 @@
     pub fn new(spread_ms: u64) -> Self {
         Self {
             spread_ms,
-            in_force: None,
-            earlier: Vec::new(),
+            ..Self::default()
         }
     }
 
