--- a/crates/yucca-serve/tests/stream_lifetimes.rs
+++ b/crates/yucca-serve/tests/stream_lifetimes.rs
@@ -79,13 +79,30 @@
     }
 }
 
+/// Changes with a name, and whether version 1 is still there after them.
+type Case<'a> = (&'a str, Vec<Change>, bool);
+
+/// Begins streams in a fleet, plays the changes of each case, and resumes the streams.
+fn play_cases(fleets: &[(usize, f64)], cases: &[Case]) {
+    for (hosts, loss) in fleets {
+        for (name, changes, has_first) in cases {
+            run_virtual(async {
+                let fleet = spawn(*hosts, *loss).await;
+                let begun = fleet.begin_some(12).await;
+                play(&fleet, changes).await;
+                let case = format!("{name}, {hosts} hosts, loss {loss}");
+                resume(&fleet, &begun, *has_first, &case).await;
+            });
+        }
+    }
+}
+
 /// Guards against streams that go on at another version because the time limit under which they began was
 /// lowered, so that it is forgotten that they did.
 #[test]
 fn resume_after_timeout_lowered() {
     let lowered = Config(limit(SHORT_MS));
-    // Changes after the streams have begun, and whether version 1 is still there.
-    let cases: [(&str, Vec<Change>, bool); 8] = [
+    let cases: [Case; 8] = [
         (
             "before version 1 leaves",
             vec![
@@ -164,22 +181,7 @@
             false,
         ),
     ];
-    for (hosts, loss) in [(1, 0.0), (7, 0.05)] {
-        for (name, changes, has_first) in &cases {
-            run_virtual(async {
-                let fleet = spawn(hosts, loss).await;
-                let begun = fleet.begin_some(12).await;
-                play(&fleet, changes).await;
-                resume(
-                    &fleet,
-                    &begun,
-                    *has_first,
-                    &format!("{name}, {hosts} hosts"),
-                )
-                .await;
-            });
-        }
-    }
+    play_cases(&[(1, 0.0), (7, 0.05)], &cases);
 }
 
 /// Guards against hosts that started after a time limit was lowered, and take the lower one for the lifetime of
@@ -189,8 +191,7 @@
     let lowered = Config(limit(1_000));
     let released = [SecondVersion, FirstVersionLeaves, Wait(4_000)];
     let one_by_one = (0..7).flat_map(|at| [Restart(at), Wait(200)]);
-    // Changes after the streams have begun, and whether version 1 is still there.
-    let cases: [(&str, Vec<Change>, bool); 5] = [
+    let cases: [Case; 5] = [
         (
             "all start again after it",
             [
@@ -230,16 +231,7 @@
             true,
         ),
     ];
-    for (hosts, loss) in [(7, 0.0), (7, 0.05)] {
-        for (name, changes, has_first) in &cases {
-            run_virtual(async {
-                let fleet = spawn(hosts, loss).await;
-                let begun = fleet.begin_some(12).await;
-                play(&fleet, changes).await;
-                resume(&fleet, &begun, *has_first, &format!("{name}, loss {loss}")).await;
-            });
-        }
-    }
+    play_cases(&[(7, 0.0), (7, 0.05)], &cases);
 }
 
 /// Returns the record in the store of the services with one version.
