--- a/crates/yucca-serve/src/stream_versions.rs
+++ b/crates/yucca-serve/src/stream_versions.rs
@@ -25,15 +25,15 @@
 use crate::ports::Kind;
 
 /// Longest time between the first event of a stream and its last resumption, as a multiple of the
-/// longest time limit of the routes. Callers that wait for longer count by themselves.
+/// longest time limit of the routes. The deadline of a caller counts in its place if it is longer.
 const LIFETIME_FACTOR: f64 = 1.5;
 /// Up to this many other hosts, all of them learn the versions of streams; in a larger fleet some do,
 /// which follow from the stream's id.
 const SMALL_FLEET: usize = 16;
 /// Number of those hosts in a larger fleet. Some may have stopped a moment ago.
 const REPLICAS: usize = 5;
-/// Shortest time for which a stream of another host is remembered. Its caller may wait for longer than those of
-/// this host.
+/// Shortest time for which a stream is remembered of which another host or the journal has told. They do not
+/// tell how long its caller waits.
 const MIN_TOLD_MS: u64 = 60_000;
 /// Maximum number of notes in one datagram.
 const MAX_NOTES: usize = 60;
--- a/crates/yucca-serve/src/version_record.rs
+++ b/crates/yucca-serve/src/version_record.rs
@@ -2,8 +2,8 @@
 //! any stream lasts.
 //!
 //! The holder of the lease on engine roles writes it, once when a version appears and once when it has
-//! been the only one for long enough. A host that has just started reads it once. It also tells how long
-//! streams may live, which a host that has just started cannot know: a configuration before the present one
+//! been the only one for long enough. A host that has just started, or was out of step, reads it once. It
+//! also tells how long streams may live, which such a host cannot know: a configuration that it never saw
 //! may have allowed more time.
 
 use std::rc::Rc;
